--- /dev/null
+++ b/src/app/controller.cpp
@@ -0,0 +1,889 @@
+#include "app/controller.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace aspenwick::app {
+
+using share::Gossip;
+using share::HolderKey;
+using share::MachineRecord;
+using wire::JobStatus;
+using wire::WorkerReport;
+
+namespace {
+
+// Keys: all under kShared are followed by every node; progress is read by a share's next holder only.
+const std::string kShared = "s/";
+const std::string kJob = "s/job/";
+const std::string kMachine = "s/machine/";
+const std::string kHolder = "s/holder/";
+const std::string kLeader = "s/leader";
+const std::string kToken = "s/token";
+const std::string kTypes = "s/types";
+const std::string kProgress = "p/";
+
+constexpr Micros kTick = 250 * kMillisecond;
+constexpr Micros kSoon = 15 * kMillisecond;
+constexpr Micros kPushDeadline = 3 * kSecond;
+constexpr Micros kCloudDeadline = 5 * kSecond;
+constexpr Micros kPeerAnswer = 300 * kMillisecond;
+
+std::string progress_key(int share, const std::string& job, std::uint32_t chunk) {
+  return kProgress + std::to_string(share) + "/" + job + "/" + std::to_string(chunk);
+}
+
+struct Periodic {
+  std::function<void()> what;
+};
+
+void run_periodic(evutil_socket_t, short, void* arg) { static_cast<Periodic*>(arg)->what(); }
+
+}  // namespace
+
+Controller::Controller(event_base* base, const wire::PlatformSettings& platform, const OperatorSettings& ops)
+    : base_(base),
+      platform_(platform),
+      ops_(ops),
+      http_(base, 24),
+      workers_(base, 2),
+      store_(base, http_, platform, [this] { return now(); }),
+      own_(platform) {
+  peers_ = std::make_unique<share::PeerLink>(
+      base, platform, [this](const share::Frame& f, const share::PeerLink::Reply& r) { on_frame(f, r); });
+  server_ = std::make_unique<net::Server>(base, platform.listen, platform.sockets,
+                                          [this](const ExchangePtr& x) { route(x); });
+  store_.watch(kShared, {[this](std::vector<wire::Row> rows) { reset_rows(std::move(rows)); },
+                         [this](std::vector<wire::Row> rows) {
+                           for (const auto& r : rows) apply_row(r);
+                           sync_holders();
+                           poke();
+                         }});
+  every(kTick, &Controller::tick);
+  every(500 * kMillisecond, &Controller::gossip);
+  every(500 * kMillisecond, &Controller::lead);
+  every(200 * kMillisecond, &Controller::ownership);
+  every(10 * kSecond, &Controller::metrics);
+}
+
+Controller::~Controller() {
+  for (event* e : timers_) {
+    delete static_cast<Periodic*>(event_get_callback_arg(e));
+    event_free(e);
+  }
+}
+
+Micros Controller::now() const {
+  return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+Micros Controller::time_of_day() const {
+  return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+void Controller::every(Micros period, void (Controller::*what)()) {
+  auto* p = new Periodic{[this, what] { (this->*what)(); }};
+  event* e = event_new(base_, -1, EV_PERSIST, run_periodic, p);
+  const timeval tv{period / kSecond, static_cast<suseconds_t>(period % kSecond)};
+  event_add(e, &tv);
+  timers_.push_back(e);
+}
+
+void Controller::later(Micros delay, std::function<void()> what) {
+  const timeval tv{delay / kSecond, static_cast<suseconds_t>(delay % kSecond)};
+  event_base_once(
+      base_, -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void* arg) {
+        std::unique_ptr<Periodic> p(static_cast<Periodic*>(arg));
+        p->what();
+      },
+      new Periodic{std::move(what)}, &tv);
+}
+
+void Controller::poke() {
+  if (tick_soon_) return;
+  tick_soon_ = true;
+  later(kSoon, [this] { tick(); });
+}
+
+// ---------------------------------------------------------------- users
+
+void Controller::route(const ExchangePtr& x) {
+  const std::string path = x->path();
+  const bool get = x->method() == EVHTTP_REQ_GET, post = x->method() == EVHTTP_REQ_POST;
+  static const std::string kJobs = "/v1/jobs";
+  if (path == "/hello") return post ? report(x) : x->refuse_method("POST");
+  if (path == "/ready") return get ? ready(x) : x->refuse_method("GET");
+  if (path == kJobs) return post ? submit(x) : x->refuse_method("POST");
+  if (path.starts_with(kJobs + "/")) {
+    std::string id = path.substr(kJobs.size() + 1);
+    static const std::string kWithdraw = "/withdraw";
+    const bool to_withdraw = id.ends_with(kWithdraw);
+    if (to_withdraw) id.resize(id.size() - kWithdraw.size());
+    if (id.find('/') != std::string::npos || id.empty()) return x->answer(404, wire::error_body("no such path"));
+    if (to_withdraw ? !post : !get) return x->refuse_method(to_withdraw ? "POST" : "GET");
+    if (!wire::valid_job_id(id)) return x->answer(404, wire::error_body("no such job"));
+    ++count_users_;
+    return to_withdraw ? withdraw(x, id, 3) : status(x, id);
+  }
+  x->answer(404, wire::error_body("no such path"));
+}
+
+void Controller::retry(const ExchangePtr& x, const std::string& why) { x->answer(503, wire::error_body(why), 1); }
+
+void Controller::ready(const ExchangePtr& x) {
+  // A common outage leaves nothing better to send users to; a node refused alone steps aside.
+  if (!synced_) return x->answer(503, wire::error_body("starting"));
+  if (own_.refused_alone(now())) return x->answer(503, wire::error_body("no state service"));
+  x->answer(200, R"({"ready":true})");
+}
+
+void Controller::submit(const ExchangePtr& x) {
+  ++count_users_;
+  job::JobRecord record;
+  std::string id;
+  try {
+    auto spec = std::make_shared<wire::JobSpec>(wire::parse_job(x->body()));
+    id = spec->id;
+    record.spec = std::move(spec);
+  } catch (const std::exception& e) {
+    return x->answer(400, wire::error_body(e.what()));
+  }
+  if (!synced_) return retry(x, "starting");
+  if (jobs_.contains(id)) return status(x, id);
+  if (types_.empty()) return retry(x, "machine types not known yet");
+  if (const auto why = job::never_runs(*record.spec, types_, platform_.teams); !why.empty())
+    return x->answer(422, wire::error_body(why));
+  if (store_.crowded()) return x->answer(429, wire::error_body("over budget"), 2);
+  record.submitted = time_of_day();
+  wire::Json value = job::record_to_json(record);
+  if (value.dump().size() > platform_.value_bytes) return x->answer(400, wire::error_body("job too large"));
+  store_.commit({{kJob + id, 0}}, {{kJob + id, std::move(value), {}, false}}, store::Urgency::user,
+                [this, x, id, record](int code, std::uint64_t revision) mutable {
+                  if (code == 200) {
+                    record.version = revision;
+                    if (!jobs_.contains(id)) {
+                      jobs_[id] = record;
+                      feed_job(id, record);
+                      poke();
+                    }
+                    return x->answer(201, wire::status_body(id, JobStatus::queued));
+                  }
+                  if (code == 409) return status(x, id);
+                  retry(x, "state service");
+                });
+}
+
+void Controller::status(const ExchangePtr& x, const std::string& id) {
+  auto it = jobs_.find(id);
+  if (it != jobs_.end() && it->second.final()) return x->answer(200, wire::status_body(id, it->second.status));
+  // What is not final may have become so elsewhere: only a fresh read may say that it has not.
+  store_.get(kJob + id, store::Urgency::read, [this, x, id](int code, const wire::Row& row) {
+    if (code == 404) return x->answer(404, wire::error_body("no such job"));
+    if (code != 200) return retry(x, "state service");
+    try {
+      const auto record = job::record_from_json(row.value, row.version);
+      if (record.final()) return x->answer(200, wire::status_body(id, record.status));
+    } catch (const std::exception& e) {
+      spdlog::error("job record {}: {}", id, e.what());
+      return retry(x, "state service");
+    }
+    tell_status(x, id);
+  });
+}
+
+void Controller::tell_status(const ExchangePtr& x, const std::string& id) {
+  auto it = jobs_.find(id);
+  const int share = it != jobs_.end() && it->second.spec ? own_.share_of_team(it->second.spec->team) : -1;
+  std::pair<std::uint32_t, std::uint32_t> tally{0, 0};
+  if (auto h = held_.find(share); h != held_.end() && h->second.holder)
+    tally = h->second.holder->tally(id).value_or(tally);
+  else if (const HolderKey* key = own_.holder(share); key && key->node != platform_.name) {
+    const std::uint32_t ask = ++asked_;
+    if (peers_->send(key->node, share::StatusAsk{ask, id})) {
+      asks_[ask] = {x, id};
+      later(kPeerAnswer, [this, ask] {
+        auto a = asks_.find(ask);
+        if (a == asks_.end()) return;
+        a->second.exchange->answer(200, wire::status_body(a->second.job, JobStatus::queued, std::pair{0U, 0U}));
+        asks_.erase(a);
+      });
+      return;
+    }
+  }
+  x->answer(200, wire::status_body(id, tally.second > 0 ? JobStatus::running : JobStatus::queued, tally));
+}
+
+void Controller::withdraw(const ExchangePtr& x, const std::string& id, int tries) {
+  auto it = jobs_.find(id);
+  if (it != jobs_.end() && it->second.final()) return x->answer(200, wire::status_body(id, it->second.status));
+  if (!synced_ || tries == 0) return retry(x, "state service");
+  store_.get(kJob + id, store::Urgency::user, [this, x, id, tries](int code, const wire::Row& row) {
+    if (code == 404) return x->answer(404, wire::error_body("no such job"));
+    if (code != 200) return retry(x, "state service");
+    job::JobRecord record;
+    try {
+      record = job::record_from_json(row.value, row.version);
+    } catch (const std::exception& e) {
+      spdlog::error("job record {}: {}", id, e.what());
+      return retry(x, "state service");
+    }
+    if (record.final()) return x->answer(200, wire::status_body(id, record.status));
+    record.status = JobStatus::withdrawn;
+    // `done` and `withdrawn` race by the guard: one of them finds the record changed.
+    store_.commit({{kJob + id, row.version}}, {{kJob + id, job::record_to_json(record), {}, false}},
+                  store::Urgency::user, [this, x, id, tries, record](int commit, std::uint64_t revision) mutable {
+                    if (commit == 409) return withdraw(x, id, tries - 1);
+                    if (commit != 200) return retry(x, "state service");
+                    record.version = revision;
+                    record.spec.reset();
+                    jobs_[id] = record;
+                    feed_job(id, record);
+                    // Ahead of the watch, which an outage may delay past the time a cancellation has.
+                    peers_->broadcast(share::WithdrawnTell{id});
+                    poke();
+                    x->answer(200, wire::status_body(id, JobStatus::withdrawn));
+                  });
+  });
+}
+
+// ---------------------------------------------------------------- workers
+
+void Controller::report(const ExchangePtr& x) {
+  ++count_reports_;
+  WorkerReport r;
+  try {
+    r = wire::parse_report(x->body());
+  } catch (const std::exception& e) {
+    return x->answer(400, wire::error_body(e.what()));
+  }
+  answer_report(x, r, true);
+}
+
+bool Controller::may_start(const HeldShare& s) const { return synced_ && !s.handing_back && own_.lease_valid(now()); }
+
+void Controller::answer_report(const ExchangePtr& x, const WorkerReport& r, bool may_adopt) {
+  if (!synced_) return x->answer(503, wire::error_body("starting"));
+  auto it = machines_.find(r.machine);
+  if (it == machines_.end()) {
+    if (leading() && may_adopt) return adopt(x, r);
+    const HolderKey* leader = own_.leader();
+    if (leader && leader->node != platform_.name) return x->answer(421, wire::redirect_body(leader->node));
+    return x->answer(503, wire::error_body("no leader"));
+  }
+  const int share = it->second.share;
+  const HolderKey* key = own_.holder(share);
+  if (share < 0 || !key) return x->answer(503, wire::error_body("no holder"));
+  if (!own_.ours(key)) {
+    if (key->node == platform_.name) return x->answer(503, wire::error_body("not yet"));
+    return x->answer(421, wire::redirect_body(key->node));
+  }
+  auto h = held_.find(share);
+  if (h == held_.end() || !h->second.holder || h->second.handing_back) return x->answer(503, wire::error_body("not yet"));
+  if (!own_.may_renew_workers(now())) return x->answer(503, wire::error_body("no right to act"));
+  auto answer = h->second.holder->on_report(r, now(), may_start(h->second));
+  if (!answer) return x->answer(503, wire::error_body("no right to act"));
+  x->answer(200, wire::report_answer(answer->token, answer->orders));
+  poke();
+}
+
+void Controller::adopt(const ExchangePtr& x, const WorkerReport& r) {
+  if (!adopting_.insert(r.machine).second) return x->answer(503, wire::error_body("being adopted"));
+  MachineRecord m;
+  m.id = r.machine;
+  m.address = r.address;
+  m.type = r.type;
+  m.zone = r.zone;
+  m.spot = r.spot;
+  m.share = renter_ ? renter_->share_for(r.machine, r.type, own_.shares()) : 0;
+  std::vector<wire::Guard> guards{{kMachine + m.id, 0}, {kLeader, own_.leader()->version}};
+  std::vector<wire::Write> writes;
+  if (r.token > 0) {
+    // It has obeyed someone: only a newer epoch can give it orders.
+    m.epoch = token_ + 1;
+    guards.push_back({kToken, token_version_});
+    writes.push_back({kToken, {{"n", m.epoch}}, {}, false});
+  }
+  writes.push_back({kMachine + m.id, machine_to_json(m), {}, false});
+  store_.commit(std::move(guards), std::move(writes), store::Urgency::user,
+                [this, x, r, m](int code, std::uint64_t revision) mutable {
+                  adopting_.erase(r.machine);
+                  if (code != 200) return x->answer(503, wire::error_body("state service"));
+                  if (renter_) renter_->adopted(r.machine);
+                  spdlog::info("machine {} ({}, {}{}) joins share {}", m.id, m.type, m.zone, m.spot ? ", spot" : "",
+                               m.share);
+                  if (!machines_.contains(m.id)) {
+                    m.version = revision;
+                    machines_[m.id] = m;
+                    sync_holders();
+                  }
+                  answer_report(x, r, false);
+                });
+}
+
+void Controller::push_orders() {
+  for (auto& [share, held] : held_) {
+    if (!held.holder || !may_start(held)) continue;
+    for (auto& push : held.holder->pushes(now())) {
+      wire::Endpoint to;
+      try {
+        to = wire::parse_endpoint(push.address);
+      } catch (const wire::Malformed&) {
+        continue;
+      }
+      const std::uint64_t epoch = held.epoch;
+      workers_.request(EVHTTP_REQ_POST, to, "/do", wire::direct_orders(push.token, push.session, push.orders),
+                       kPushDeadline,
+                       [this, share = share, epoch, machine = push.machine](int code, const std::string& body) {
+                         auto h = held_.find(share);
+                         if (h == held_.end() || !h->second.holder || h->second.epoch != epoch) return;
+                         WorkerReport r;
+                         const WorkerReport* report = nullptr;
+                         if (code == 200 || code == 409) try {
+                             r = wire::parse_report(body);
+                             report = &r;
+                           } catch (const std::exception& e) {
+                             spdlog::error("worker {}: {}", machine, e.what());
+                           }
+                         h->second.holder->pushed(machine, report ? code : 0, report, now());
+                         poke();
+                       });
+    }
+  }
+}
+
+// ---------------------------------------------------------------- state
+
+void Controller::reset_rows(std::vector<wire::Row> rows) {
+  const bool first = !synced_;
+  std::set<std::string> seen;
+  for (const auto& r : rows) seen.insert(r.key);
+  auto gone = [&](const std::string& key) { return !seen.contains(key); };
+  std::vector<std::string> lost;
+  for (const auto& [id, m] : machines_)
+    if (gone(kMachine + id)) lost.push_back(kMachine + id);
+  for (int s = 0; s < own_.shares(); ++s)
+    if (gone(kHolder + std::to_string(s)) && (own_.holder(s) || first)) lost.push_back(kHolder + std::to_string(s));
+  if (gone(kLeader) && (own_.leader() || first)) lost.push_back(kLeader);
+  // Machines and jobs before holders: a share's holder is made from all that was there when it was taken.
+  for (const auto& key : lost) apply_row({key, nullptr, 0, true});
+  for (const auto& r : rows) apply_row(r);
+  synced_ = true;
+  if (first) {
+    spdlog::info("in step with the state service: {} jobs, {} machines", jobs_.size(), machines_.size());
+    // Our former process has ended: its lease ends with it, and its shares are free at once.
+    std::set<std::uint64_t> former;
+    for (int s = 0; s < own_.shares(); ++s)
+      if (const HolderKey* k = own_.holder(s); k && k->node == platform_.name && !own_.ours(k)) former.insert(k->lease);
+    if (const HolderKey* k = own_.leader(); k && k->node == platform_.name && !own_.ours(k)) former.insert(k->lease);
+    for (const auto lease : former) store_.revoke(lease, [](int) {});
+  }
+  sync_holders();
+  own_lease();
+}
+
+void Controller::apply_row(const wire::Row& row) {
+  const std::string& key = row.key;
+  try {
+    if (key.starts_with(kJob)) {
+      const std::string id = key.substr(kJob.size());
+      if (row.removed) return;
+      auto it = jobs_.find(id);
+      if (it != jobs_.end() && it->second.version >= row.version) return;
+      jobs_[id] = job::record_from_json(row.value, row.version);
+      feed_job(id, jobs_[id]);
+    } else if (key.starts_with(kMachine)) {
+      const std::string id = key.substr(kMachine.size());
+      if (row.removed) {
+        machines_.erase(id);
+      } else {
+        auto it = machines_.find(id);
+        if (it != machines_.end() && it->second.version >= row.version) return;
+        machines_[id] = share::machine_from_json(id, row.value, row.version);
+      }
+    } else if (key.starts_with(kHolder)) {
+      const int share = std::stoi(key.substr(kHolder.size()));
+      if (share < 0 || share >= own_.shares()) return;
+      if (row.removed) {
+        if (const HolderKey* k = own_.holder(share)) former_[share] = {k->node, k->lease};
+        own_.holder_removed(share, now());
+      } else {
+        if (const HolderKey* k = own_.holder(share); k && k->version != row.version) former_[share] = {k->node, k->lease};
+        own_.holder_set(share, share::holder_from_json(row.value, row.version));
+      }
+    } else if (key == kLeader) {
+      if (row.removed)
+        own_.leader_removed(now());
+      else
+        own_.leader_set(share::holder_from_json(row.value, row.version));
+    } else if (key == kToken && !row.removed) {
+      token_ = row.value.at("n").get<std::uint64_t>();
+      token_version_ = row.version;
+    } else if (key == kTypes && !row.removed) {
+      if (types_.empty()) types_ = wire::types_from_json(row.value);
+    }
+  } catch (const std::exception& e) {
+    spdlog::error("state service: {}: {}", key, e.what());
+  }
+}
+
+void Controller::feed_job(const std::string& id, const job::JobRecord& record) {
+  for (auto& [share, held] : held_) {
+    if (!held.holder) continue;
+    if (!record.final() && own_.share_of_team(record.spec->team) != share) continue;
+    held.holder->job_known(id, record, record.version > held.key_version, now(), time_of_day());
+  }
+}
+
+void Controller::sync_holders() {
+  if (!synced_) return;
+  for (auto it = held_.begin(); it != held_.end();) {
+    const HolderKey* key = own_.holder(it->first);
+    if (own_.ours(key) && key->epoch == it->second.epoch) {
+      ++it;
+      continue;
+    }
+    spdlog::info("share {}: no longer held", it->first);
+    it = held_.erase(it);
+  }
+  for (int s = 0; s < own_.shares() && !types_.empty(); ++s) {
+    const HolderKey* key = own_.holder(s);
+    if (!own_.ours(key) || held_.contains(s)) continue;
+    HeldShare& held = held_[s];
+    held.epoch = key->epoch;
+    held.key_version = key->version;
+    held.loading = true;
+    const auto former = former_.contains(s) ? former_[s] : std::pair<std::string, std::uint64_t>{};
+    share::HolderSettings hs;
+    hs.share = s;
+    hs.rnn = ops_.rnn;
+    hs.suspect_for = ops_.suspect_for;
+    hs.error_backoff = ops_.error_backoff;
+    held.holder = std::make_unique<share::Holder>(
+        platform_, types_, hs,
+        [this](const std::string& id) -> const job::JobRecord* {
+          auto j = jobs_.find(id);
+          return j == jobs_.end() ? nullptr : &j->second;
+        },
+        held.epoch, now(), own_.renewable_until(former.first, former.second, now()));
+    spdlog::info("share {}: held with epoch {}", s, held.epoch);
+    for (const auto& [id, record] : jobs_)
+      if (!record.final()) feed_job(id, record);
+  }
+  for (auto& [s, held] : held_) {
+    share::Holder& h = *held.holder;
+    std::vector<std::string> leave;
+    for (const auto& m : h.machine_states(now())) {
+      auto rec = machines_.find(m.id);
+      if (rec == machines_.end() || rec->second.share != s) leave.push_back(m.id);
+    }
+    for (const auto& id : leave) h.machine_gone(id, now());
+    for (const auto& [id, m] : machines_)
+      if (m.share == s) h.machine_known(m, m.version > held.key_version, now());
+    if (!held.loading) continue;
+    held.loading = false;
+    const std::uint64_t epoch = held.epoch;
+    auto load = std::make_shared<std::function<void()>>();
+    *load = [this, s = s, epoch, load] {
+      store_.list(kProgress + std::to_string(s) + "/",
+                  [this, s, epoch, load](bool ok, const std::vector<wire::Row>& rows, std::uint64_t) {
+                    auto it = held_.find(s);
+                    if (it == held_.end() || it->second.epoch != epoch) return;
+                    if (!ok) return later(300 * kMillisecond, [load] { (*load)(); });
+                    const std::size_t skip = (kProgress + std::to_string(s) + "/").size();
+                    for (const auto& r : rows) {
+                      const auto slash = r.key.rfind('/');
+                      if (slash < skip || !r.value.is_string()) continue;
+                      it->second.holder->load_done(r.key.substr(skip, slash - skip),
+                                                   static_cast<std::uint32_t>(std::stoul(r.key.substr(slash + 1))),
+                                                   r.value.get<std::string>(), r.version);
+                    }
+                    it->second.holder->loaded(now());
+                    poke();
+                  });
+    };
+    (*load)();
+  }
+}
+
+void Controller::own_lease() {
+  if (own_.lease() || lease_asked_ || !synced_) return;
+  lease_asked_ = true;
+  const Micros sent = now();
+  store_.grant(share::kHolderLease, [this, sent](int code, std::uint64_t lease) {
+    lease_asked_ = false;
+    if (code != 200) return;
+    own_.lease_granted(lease, sent);
+    renewed_ = sent;
+    ownership();
+  });
+}
+
+void Controller::renew() {
+  const Micros sent = now();
+  if (!own_.lease() || sent - renewed_ < share::kRenewEvery) return;
+  renewed_ = sent;
+  const std::uint64_t lease = *own_.lease();
+  store_.renew(lease, [this, sent, lease](int code) {
+    if (own_.lease() != lease) return;
+    if (code == 200) {
+      own_.lease_renewed(sent);
+    } else if (code == 404) {
+      spdlog::info("our lease has ended");
+      own_.lease_lost();
+      sync_holders();
+      own_lease();
+    } else {
+      renewed_ = std::min(renewed_, now() - share::kRenewEvery + 500 * kMillisecond);  // try again soon
+    }
+  });
+}
+
+void Controller::ownership() {
+  if (!synced_) return;
+  renew();
+  own_lease();
+  for (const int s : own_.to_take(now())) take_share(s);
+  if (own_.take_leader(now())) take_leader();
+  if (auto s = own_.to_hand_back(now())) hand_back(*s);
+}
+
+void Controller::take_share(int s) {
+  if (!taking_.insert(s).second) return;
+  const HolderKey key{platform_.name, *own_.lease(), token_ + 1, 0};
+  store_.commit({{kHolder + std::to_string(s), 0}, {kToken, token_version_}},
+                {{kToken, {{"n", key.epoch}}, {}, false},
+                 {kHolder + std::to_string(s), share::holder_to_json(key), key.lease, false}},
+                store::Urgency::user, [this, s](int code, std::uint64_t) {
+                  if (code == 200) spdlog::info("share {}: taken", s);
+                  // The watch tells; a refusal mostly means that the token moved on.
+                  later(code == 200 ? kSecond : 150 * kMillisecond, [this, s] { taking_.erase(s); });
+                });
+}
+
+void Controller::take_leader() {
+  if (taking_leader_) return;
+  taking_leader_ = true;
+  const HolderKey key{platform_.name, *own_.lease(), token_ + 1, 0};
+  store_.commit({{kLeader, 0}, {kToken, token_version_}},
+                {{kToken, {{"n", key.epoch}}, {}, false}, {kLeader, share::holder_to_json(key), key.lease, false}},
+                store::Urgency::user, [this](int code, std::uint64_t) {
+                  later(code == 200 ? kSecond : 200 * kMillisecond, [this] { taking_leader_ = false; });
+                });
+}
+
+void Controller::hand_back(int s) {
+  auto it = held_.find(s);
+  if (it == held_.end() || it->second.handing_back) return;
+  it->second.handing_back = true;
+  spdlog::info("share {}: handed back to {}", s, own_.node_of(s));
+  store_.commit({{kHolder + std::to_string(s), it->second.key_version}}, {{kHolder + std::to_string(s), nullptr, {}, true}},
+                store::Urgency::user, [this, s](int code, std::uint64_t) {
+                  // When it is not known whether the key is gone, the watch tells; until then nothing is started.
+                  if (code == 200 || code == 0) return;
+                  if (auto h = held_.find(s); h != held_.end()) h->second.handing_back = false;
+                });
+}
+
+void Controller::record_done() {
+  finish_jobs();
+  const Micros t = now();
+  if (t - last_done_ < kSecond || !store_.writes_spare()) return;
+  last_done_ = t;
+  for (auto& [s, held] : held_) {
+    if (!may_start(held)) continue;
+    const auto writes = held.holder->done_writes(std::min<std::size_t>(store_.txn_ops(), 4));
+    if (writes.empty()) continue;
+    std::vector<wire::Guard> guards{{kHolder + std::to_string(s), held.key_version}};
+    std::vector<wire::Write> puts;
+    for (const auto& w : writes) {
+      guards.push_back({progress_key(s, w.job, w.chunk), w.version});
+      puts.push_back({progress_key(s, w.job, w.chunk), w.text, {}, false});
+    }
+    store_.commit(std::move(guards), std::move(puts), store::Urgency::background,
+                  [this, s = s, epoch = held.epoch, writes](int code, std::uint64_t revision) {
+                    auto h = held_.find(s);
+                    if (h == held_.end() || h->second.epoch != epoch) return;
+                    for (const auto& w : writes) {
+                      if (code == 200) {
+                        h->second.holder->done_written(w, true, revision);
+                        continue;
+                      }
+                      // Perhaps executed: the key's version must be read before the next try.
+                      store_.get(progress_key(s, w.job, w.chunk), store::Urgency::read,
+                                 [this, s, epoch, w](int got, const wire::Row& row) {
+                                   auto k = held_.find(s);
+                                   if (k == held_.end() || k->second.epoch != epoch) return;
+                                   const std::uint64_t version = got == 200 ? row.version : got == 404 ? 0 : w.version;
+                                   k->second.holder->done_written(w, false, version);
+                                 });
+                    }
+                  });
+  }
+}
+
+void Controller::finish_jobs() {
+  for (auto& [s, held] : held_) {
+    if (!may_start(held)) continue;
+    for (const auto& id : held.holder->complete_jobs()) {
+      auto it = jobs_.find(id);
+      if (it == jobs_.end() || it->second.final()) continue;
+      job::JobRecord record = it->second;
+      record.status = JobStatus::done;
+      held.holder->set_committing(id, true);
+      std::vector<wire::Write> writes{{kJob + id, job::record_to_json(record), {}, false}};
+      for (const auto& key : held.holder->done_keys(id))
+        if (writes.size() < store_.txn_ops()) writes.push_back({kProgress + std::to_string(s) + "/" + key, nullptr, {}, true});
+      store_.commit({{kHolder + std::to_string(s), held.key_version}, {kJob + id, record.version}}, std::move(writes),
+                    store::Urgency::user,
+                    [this, s = s, epoch = held.epoch, id, record](int code, std::uint64_t revision) mutable {
+                      if (code == 200) {
+                        record.version = revision;
+                        record.spec.reset();
+                        jobs_[id] = record;
+                        feed_job(id, record);
+                        poke();
+                        return;
+                      }
+                      later(300 * kMillisecond, [this, s, epoch, id] {
+                        auto h = held_.find(s);
+                        if (h != held_.end() && h->second.epoch == epoch) h->second.holder->set_committing(id, false);
+                      });
+                    });
+    }
+  }
+}
+
+// ---------------------------------------------------------------- leader
+
+bool Controller::leading() const { return own_.ours(own_.leader()) && own_.lease_valid(now()); }
+
+void Controller::fetch_types() {
+  if (fetching_types_) return;
+  fetching_types_ = true;
+  http_.request(EVHTTP_REQ_GET, platform_.cloud, "/flavors", "", kCloudDeadline,
+                [this](int code, const std::string& body) {
+                  fetching_types_ = false;
+                  if (code != 200) return;
+                  try {
+                    auto types = wire::parse_types(body);
+                    if (renter_) renter_->prices(types);
+                    if (!types_.empty() || types.empty()) return;
+                    store_.commit({{kTypes, 0}}, {{kTypes, wire::types_to_json(types), {}, false}},
+                                  store::Urgency::user, [](int, std::uint64_t) {});
+                  } catch (const std::exception& e) {
+                    spdlog::error("cloud: {}", e.what());
+                  }
+                });
+}
+
+void Controller::list_machines(const std::string& after, std::shared_ptr<std::vector<wire::CloudMachine>> sofar) {
+  listing_ = true;
+  cloud_tokens_ -= 1;
+  std::string path = "/rentals?page=500";
+  if (!after.empty()) path += "&since=" + after;
+  http_.request(EVHTTP_REQ_GET, platform_.cloud, path, "", kCloudDeadline,
+                [this, sofar](int code, const std::string& body) {
+                  listing_ = false;
+                  if (code != 200 || !renter_) return;
+                  try {
+                    auto page = wire::parse_cloud_page(body);
+                    sofar->insert(sofar->end(), page.machines.begin(), page.machines.end());
+                    if (page.more && !page.machines.empty()) return list_machines(sofar->back().id, sofar);
+                    renter_->listed(*sofar, machines_, now());
+                  } catch (const std::exception& e) {
+                    spdlog::error("cloud: {}", e.what());
+                  }
+                });
+}
+
+std::vector<share::ShareSaid> Controller::own_shares() const {
+  std::vector<share::ShareSaid> out;
+  for (const auto& [s, held] : held_) {
+    if (!held.holder) continue;
+    out.push_back({s, held.holder->rebuilt(), held.holder->demands(now()), held.holder->machine_states(now())});
+  }
+  return out;
+}
+
+void Controller::lead() {
+  if (!leading()) {
+    renter_.reset();
+    return;
+  }
+  const Micros t = now();
+  cloud_tokens_ = std::min(platform_.cloud_rps, cloud_tokens_ + to_seconds(t - cloud_last_) * platform_.cloud_rps * 0.8);
+  cloud_last_ = t;
+  if (types_.empty()) {
+    if (cloud_tokens_ >= 1) cloud_tokens_ -= 1, fetch_types();
+    return;
+  }
+  if (!renter_ || renter_epoch_ != own_.leader()->epoch) {
+    renter_ = std::make_unique<fleet::Renter>(platform_, types_, ops_.renting);
+    renter_epoch_ = own_.leader()->epoch;
+    hires_ = 0;
+    next_list_ = 0;
+    spdlog::info("leading with epoch {}", renter_epoch_);
+  }
+  if (t >= next_prices_ && cloud_tokens_ >= 1) {
+    next_prices_ = t + 60 * kSecond;
+    cloud_tokens_ -= 1;
+    fetch_types();
+  }
+  if (t >= next_list_ && !listing_ && cloud_tokens_ >= 1) {
+    next_list_ = t + 4 * kSecond;
+    list_machines("", std::make_shared<std::vector<wire::CloudMachine>>());
+  }
+  auto shares = own_shares();
+  for (const auto& [node, g] : said_) {
+    if (t - said_at_[node] > 2 * kSecond) continue;
+    for (const auto& s : g.shares)
+      if (!held_.contains(s.share)) shares.push_back(s);
+  }
+  for (const auto& a : renter_->tick(t, shares, machines_)) carry_out(a);
+}
+
+void Controller::carry_out(const fleet::Action& action) {
+  const std::uint64_t epoch = renter_epoch_;
+  if (const auto* rent = std::get_if<fleet::Rent>(&action)) {
+    if (cloud_tokens_ < 1) return renter_->rented(*rent, 429, {}, now() - 3600 * kSecond);
+    cloud_tokens_ -= 1;
+    const std::string request = "e" + std::to_string(epoch) + "-" + std::to_string(++hires_);
+    http_.request(EVHTTP_REQ_POST, platform_.cloud, "/rentals",
+                  wire::rental_body(request, types_[rent->type].name, rent->zone, rent->spot, rent->count), kCloudDeadline,
+                  [this, epoch, rent = *rent](int code, const std::string& body) {
+                    if (!renter_ || renter_epoch_ != epoch) return;
+                    std::vector<std::string> ids;
+                    if (code == 200) try {
+                        ids = wire::parse_rented(body);
+                      } catch (const std::exception& e) {
+                        spdlog::error("cloud: {}", e.what());
+                      }
+                    renter_->rented(rent, code, ids, now());
+                  });
+  } else if (const auto* del = std::get_if<fleet::Delete>(&action)) {
+    if (cloud_tokens_ < 1) return renter_->deleted(del->machines, false, now());
+    cloud_tokens_ -= 1;
+    http_.request(EVHTTP_REQ_POST, platform_.cloud, "/rentals/delete", wire::rental_delete_body(del->machines),
+                  kCloudDeadline, [this, epoch, ids = del->machines](int code, const std::string&) {
+                    if (!renter_ || renter_epoch_ != epoch) return;
+                    if (code != 200) return;
+                    renter_->deleted(ids, true, now());
+                    spdlog::info("deleted {} machines: {} ...", ids.size(), ids.front());
+                    std::vector<wire::Guard> guards;
+                    std::vector<wire::Write> writes;
+                    auto flush = [&] {
+                      if (!writes.empty())
+                        store_.commit(std::move(guards), std::move(writes), store::Urgency::background,
+                                      [](int, std::uint64_t) {});
+                      guards.clear(), writes.clear();
+                    };
+                    for (const auto& id : ids) {
+                      auto it = machines_.find(id);
+                      if (it == machines_.end()) continue;
+                      guards.push_back({kMachine + id, it->second.version});
+                      writes.push_back({kMachine + id, nullptr, {}, true});
+                      if (writes.size() >= 4) flush();
+                    }
+                    flush();
+                  });
+  } else if (const auto* move = std::get_if<fleet::Move>(&action)) {
+    if (held_.contains(move->from))
+      move_machine(move->machine, move->to);
+    else if (const HolderKey* key = own_.holder(move->from))
+      peers_->send(key->node, share::ReleaseAsk{move->machine, move->to});
+  }
+}
+
+void Controller::move_machine(const std::string& machine, int to) {
+  auto it = machines_.find(machine);
+  if (it == machines_.end() || to >= own_.shares()) return;
+  auto held = held_.find(it->second.share);
+  if (held == held_.end() || !may_start(held->second) || to == it->second.share || moving_.contains(machine)) return;
+  if (!held->second.holder->release(machine, now())) return;
+  moving_.insert(machine);
+  MachineRecord m = it->second;
+  const int from = m.share;
+  m.share = to;
+  std::vector<wire::Guard> guards{{kMachine + machine, m.version}, {kHolder + std::to_string(from), held->second.key_version}};
+  std::vector<wire::Write> writes;
+  if (to >= 0) {
+    // The new share's epoch may be lower than ours, which the worker has seen.
+    m.epoch = token_ + 1;
+    guards.push_back({kToken, token_version_});
+    writes.push_back({kToken, {{"n", m.epoch}}, {}, false});
+  }
+  writes.push_back({kMachine + machine, machine_to_json(m), {}, false});
+  spdlog::info("machine {} leaves share {} for {}", machine, from, to);
+  store_.commit(std::move(guards), std::move(writes), to >= 0 ? store::Urgency::user : store::Urgency::background,
+                [this, machine, from](int code, std::uint64_t) {
+                  // Surely not moved: it is used again. When unknown, the watch or the takeover of the share tells.
+                  later(code == 0 ? 10 * kSecond : 100 * kMillisecond, [this, machine, from, code] {
+                    moving_.erase(machine);
+                    auto h = held_.find(from);
+                    if (code != 200 && code != 0 && h != held_.end()) h->second.holder->keep(machine);
+                  });
+                });
+}
+
+// ---------------------------------------------------------------- peers
+
+void Controller::gossip() {
+  Gossip g;
+  g.node = platform_.name;
+  g.state_ok = store_.ok(now());
+  g.synced = synced_;
+  g.lease = own_.lease().value_or(0);
+  g.shares = own_shares();
+  peers_->broadcast(g);
+}
+
+void Controller::on_frame(const share::Frame& frame, const share::PeerLink::Reply& reply) {
+  if (const auto* g = std::get_if<Gossip>(&frame)) {
+    own_.peer_said(g->node, {g->state_ok, g->synced, g->lease, now()});
+    said_[g->node] = *g;
+    said_at_[g->node] = now();
+  } else if (const auto* a = std::get_if<share::ReleaseAsk>(&frame)) {
+    move_machine(a->machine, a->to_share);
+  } else if (const auto* q = std::get_if<share::StatusAsk>(&frame)) {
+    share::StatusTell t;
+    t.request = q->request;
+    for (const auto& [s, held] : held_)
+      if (auto tally = held.holder->tally(q->job)) t.known = true, t.done = tally->first, t.running = tally->second;
+    reply(t);
+  } else if (const auto* t = std::get_if<share::StatusTell>(&frame)) {
+    auto it = asks_.find(t->request);
+    if (it == asks_.end()) return;
+    it->second.exchange->answer(200, wire::status_body(it->second.job, t->running > 0 ? JobStatus::running : JobStatus::queued,
+                                                       std::pair{t->done, t->running}));
+    asks_.erase(it);
+  } else if (const auto* w = std::get_if<share::WithdrawnTell>(&frame)) {
+    auto it = jobs_.find(w->job);
+    if (it == jobs_.end() || it->second.final()) return;
+    job::JobRecord record = it->second;
+    record.status = JobStatus::withdrawn;
+    record.spec.reset();
+    jobs_[w->job] = record;
+    feed_job(w->job, record);
+    poke();
+  }
+}
+
+// ---------------------------------------------------------------- time
+
+void Controller::tick() {
+  tick_soon_ = false;
+  for (auto& [s, held] : held_) held.holder->tick(now(), may_start(held));
+  push_orders();
+  record_done();
+}
+
+void Controller::metrics() {
+  spdlog::info("metrics: reports {} users {} jobs {} machines {} shares {}{}", count_reports_, count_users_, jobs_.size(),
+               machines_.size(), held_.size(), leading() ? " leader" : "");
+}
+
+}  // namespace aspenwick::app
--- /dev/null
+++ b/src/app/controller.h
@@ -0,0 +1,127 @@
+// One controller node: joins the interfaces to the decisions. Everything runs on the I/O thread.
+#pragma once
+#include <event2/event.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "app/operator_settings.h"
+#include "fleet/renter.h"
+#include "job/record.h"
+#include "net/http.h"
+#include "share/holder.h"
+#include "share/ownership.h"
+#include "share/peer_link.h"
+#include "store/client.h"
+
+namespace aspenwick::app {
+
+class Controller {
+ public:
+  Controller(event_base* base, const wire::PlatformSettings& platform, const OperatorSettings& ops);
+  ~Controller();
+  Controller(const Controller&) = delete;
+  Controller& operator=(const Controller&) = delete;
+
+ private:
+  using ExchangePtr = std::shared_ptr<net::Exchange>;
+  struct HeldShare {
+    std::unique_ptr<share::Holder> holder;
+    std::uint64_t epoch = 0;
+    std::uint64_t key_version = 0;
+    bool loading = false, handing_back = false;
+  };
+  struct StatusWait {
+    ExchangePtr exchange;
+    std::string job;
+  };
+
+  Micros now() const;
+  Micros time_of_day() const;
+  void every(Micros period, void (Controller::*what)());
+  void later(Micros delay, std::function<void()> what);
+  void poke();
+
+  // users
+  void route(const ExchangePtr& x);
+  void submit(const ExchangePtr& x);
+  void status(const ExchangePtr& x, const std::string& id);
+  void withdraw(const ExchangePtr& x, const std::string& id, int tries);
+  void tell_status(const ExchangePtr& x, const std::string& id);
+  void retry(const ExchangePtr& x, const std::string& why);
+  void ready(const ExchangePtr& x);
+
+  // workers
+  void report(const ExchangePtr& x);
+  void answer_report(const ExchangePtr& x, const wire::WorkerReport& r, bool may_adopt);
+  void adopt(const ExchangePtr& x, const wire::WorkerReport& r);
+  void push_orders();
+
+  // state
+  void reset_rows(std::vector<wire::Row> rows);
+  void apply_row(const wire::Row& row);
+  void own_lease();
+  void renew();
+  void ownership();
+  void take_share(int share);
+  void take_leader();
+  void hand_back(int share);
+  void sync_holders();
+  void record_done();
+  void finish_jobs();
+  void feed_job(const std::string& id, const job::JobRecord& record);
+
+  // leader
+  void lead();
+  void list_machines(const std::string& after, std::shared_ptr<std::vector<wire::CloudMachine>> sofar);
+  void fetch_types();
+  void carry_out(const fleet::Action& action);
+  void move_machine(const std::string& machine, int to);
+  bool leading() const;
+
+  // peers
+  void gossip();
+  void on_frame(const share::Frame& frame, const share::PeerLink::Reply& reply);
+  std::vector<share::ShareSaid> own_shares() const;
+
+  void tick();
+  void metrics();
+  bool may_start(const HeldShare& s) const;
+
+  event_base* base_;
+  const wire::PlatformSettings& platform_;
+  OperatorSettings ops_;
+  net::Client http_, workers_;
+  store::Client store_;
+  share::Ownership own_;
+  std::unique_ptr<share::PeerLink> peers_;
+  std::unique_ptr<net::Server> server_;
+
+  bool synced_ = false, lease_asked_ = false, tick_soon_ = false;
+  std::unordered_map<std::string, job::JobRecord> jobs_;
+  std::map<std::string, share::MachineRecord> machines_;
+  std::vector<wire::MachineType> types_;
+  std::uint64_t token_ = 0, token_version_ = 0;
+  std::map<int, HeldShare> held_;
+  std::map<int, std::pair<std::string, std::uint64_t>> former_;  // share -> last holder's node and lease
+  std::set<int> taking_;
+  bool taking_leader_ = false, fetching_types_ = false, listing_ = false;
+  std::set<std::string> adopting_;
+  std::set<std::string> moving_;
+  std::map<std::string, share::Gossip> said_;
+  std::map<std::string, Micros> said_at_;
+  std::unique_ptr<fleet::Renter> renter_;
+  std::uint64_t renter_epoch_ = 0, hires_ = 0;
+  Micros next_list_ = 0, next_prices_ = 0, last_done_ = 0, renewed_ = 0;
+  double cloud_tokens_ = 1;
+  Micros cloud_last_ = 0;
+  std::uint32_t asked_ = 0;
+  std::map<std::uint32_t, StatusWait> asks_;
+  std::vector<event*> timers_;
+  std::uint64_t count_reports_ = 0, count_users_ = 0;
+};
+
+}  // namespace aspenwick::app
--- /dev/null
+++ b/src/app/operator_settings.h
@@ -0,0 +1,24 @@
+// The operators' own settings: YAML, every key optional, checked.
+#pragma once
+#include <stdexcept>
+#include <string>
+
+#include "fleet/renter.h"
+#include "share/holder.h"
+
+namespace aspenwick::app {
+
+struct OperatorSettings {
+  place::RnnSettings rnn;
+  fleet::RenterSettings renting;
+  Micros suspect_for = 60 * kSecond;
+  Micros error_backoff = 2 * kSecond;
+};
+
+struct BadSettings : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+OperatorSettings parse_operator_settings(const std::string& yaml);  // throws BadSettings naming the key
+OperatorSettings read_operator_settings(const std::string& path);
+
+}  // namespace aspenwick::app
--- /dev/null
+++ b/src/fleet/renter.h
@@ -0,0 +1,102 @@
+// The leader's part: which machines to rent, to move between shares, and to give back. Socket-free.
+#pragma once
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "share/peer_frame.h"
+
+namespace aspenwick::fleet {
+
+using share::MachineRecord;
+using share::ShareSaid;
+
+struct RenterSettings {
+  Micros idle_after = 25 * kSecond;     // an empty machine goes back
+  Micros lapsed_after = 8 * kSecond;    // a machine whose worker is gone goes back
+  Micros refused_for = 12 * kSecond;    // after "no capacity"
+  double straggler_factor = 2.5;        // of the nominal boot time
+  Micros straggler_extra = 15 * kSecond;
+  Micros move_idle = kSecond;           // an empty machine may be moved after this
+  Micros patience = 40 * kSecond;       // low-priority work should drain in about this time
+  int machines_at_most = 200;
+};
+
+struct Rent {
+  std::size_t type = 0;
+  std::string zone;
+  bool spot = false;
+  int count = 1;
+};
+struct Move {
+  std::string machine;
+  int from = 0, to = -1;
+};
+struct Delete {
+  std::vector<std::string> machines;
+};
+using Action = std::variant<Rent, Move, Delete>;
+
+class Renter {
+ public:
+  Renter(const wire::PlatformSettings& platform, const std::vector<wire::MachineType>& types, RenterSettings settings)
+      : platform_(platform), types_(types), settings_(settings) {}
+
+  void listed(const std::vector<wire::CloudMachine>& machines, const std::map<std::string, MachineRecord>& records,
+              Micros now);
+  void rented(const Rent& rent, int status, const std::vector<std::string>& ids, Micros now);
+  void deleted(const std::vector<std::string>& ids, bool ok, Micros now);
+  void prices(const std::vector<wire::MachineType>& current);
+
+  std::vector<Action> tick(Micros now, const std::vector<ShareSaid>& shares,
+                           const std::map<std::string, MachineRecord>& records);
+  /// The share that a machine which reports without a record should join.
+  int share_for(const std::string& machine, const std::string& type, int shares);
+  void adopted(const std::string& machine) { booting_.erase(machine); }
+  bool has_booting() const { return !booting_.empty(); }
+
+ private:
+  struct Booting {
+    std::size_t type = 0;
+    std::string zone;
+    bool spot = false;
+    Micros rented = 0;
+    bool was_listed = false;
+    Micros last_listed = 0;
+    int claimed_by = -1;
+  };
+  struct Room {
+    std::string id;
+    int share = -1;
+    std::size_t type = 0;
+    std::string zone;
+    bool spot = false, empty = false, touched = false, booting = false;
+    wire::Resources free;
+    std::uint32_t idle_ms = 0;
+  };
+  struct Want {
+    int share = 0;
+    share::Demand demand;
+    std::uint32_t left = 0, fitted = 0;
+    std::map<std::string, std::uint32_t> zones;
+  };
+  std::uint32_t fill(Want& w, Room& r) const;
+  bool suits(const Want& w, std::size_t type, const std::string& zone, bool spot) const;
+  int rooms_in(const share::Demand& d, const wire::MachineType& type) const;
+  std::size_t type_index(const std::string& name) const;
+
+  const wire::PlatformSettings& platform_;
+  const std::vector<wire::MachineType>& types_;
+  RenterSettings settings_;
+  std::map<std::string, Booting> booting_;
+  std::map<std::string, Micros> refused_until_;
+  std::map<std::string, Micros> deleting_;
+  std::map<std::string, double> spot_price_;
+  std::map<std::string, Micros> failed_;
+  int turn_ = 0, renting_ = 0;
+};
+
+}  // namespace aspenwick::fleet
--- /dev/null
+++ b/src/share/ownership.cpp
@@ -0,0 +1,134 @@
+#include "share/ownership.h"
+
+#include <algorithm>
+
+namespace aspenwick::share {
+namespace {
+constexpr Micros kDriftMargin = 100 * kMillisecond;  // 5 s at 0.05% twice, and timer steps
+constexpr Micros kPeerFresh = 1500 * kMillisecond;
+constexpr Micros kPeerAlive = 2500 * kMillisecond;
+constexpr Micros kHomeFirst = 1500 * kMillisecond;   // a free share waits this long for its home
+constexpr Micros kSettled = 4 * kSecond;
+constexpr Micros kMaxUnconfirmed = 8 * kSecond;
+constexpr Micros kBoundMargin = 3 * kSecond;
+}  // namespace
+
+wire::Json holder_to_json(const HolderKey& h) { return {{"node", h.node}, {"lease", h.lease}, {"epoch", h.epoch}}; }
+
+HolderKey holder_from_json(const wire::Json& j, std::uint64_t version) {
+  return {j.at("node").get<std::string>(), j.at("lease").get<std::uint64_t>(), j.at("epoch").get<std::uint64_t>(), version};
+}
+
+Ownership::Ownership(const wire::PlatformSettings& platform)
+    : platform_(platform), me_(platform.name), nodes_(platform.nodes()) {
+  home_ = static_cast<int>(std::find(nodes_.begin(), nodes_.end(), me_) - nodes_.begin());
+}
+
+void Ownership::lease_granted(std::uint64_t id, Micros sent) {
+  lease_ = id;
+  valid_until_ = sent + kHolderLease - kDriftMargin;
+}
+void Ownership::lease_renewed(Micros sent) {
+  valid_until_ = std::max(valid_until_, sent + kHolderLease - kDriftMargin);
+}
+void Ownership::lease_lost() {
+  lease_.reset();
+  valid_until_ = 0;
+}
+bool Ownership::lease_valid(Micros now) const { return lease_ && now < valid_until_; }
+
+void Ownership::holder_set(int share, const HolderKey& key) {
+  holders_[share] = key;
+  free_since_.erase(share);
+}
+void Ownership::holder_removed(int share, Micros now) {
+  holders_.erase(share);
+  free_since_[share] = now;
+}
+const HolderKey* Ownership::holder(int share) const {
+  auto it = holders_.find(share);
+  return it == holders_.end() ? nullptr : &it->second;
+}
+
+bool Ownership::peer_alive(const std::string& node, Micros now) const {
+  auto it = peers_.find(node);
+  return it != peers_.end() && now - it->second.at < kPeerAlive;
+}
+
+Micros Ownership::unconfirmed_bound() const {
+  // Store lease + this + worker lease stays under the time that a cancellation has.
+  return std::clamp<Micros>(platform_.cancel - kHolderLease - platform_.worker_lease - kBoundMargin, 0, kMaxUnconfirmed);
+}
+
+bool Ownership::may_renew_workers(Micros now) const {
+  if (!lease_) return false;
+  if (now < valid_until_) return true;
+  bool all_confirm = true;
+  for (const auto& s : platform_.siblings) {
+    auto it = peers_.find(s.name);
+    const bool fresh = it != peers_.end() && now - it->second.at < kPeerFresh;
+    // A peer that the state service answers may take over soon: yield.
+    if (fresh && it->second.state_ok) return false;
+    if (!fresh) all_confirm = false;
+  }
+  return all_confirm || now < valid_until_ + unconfirmed_bound();
+}
+
+Micros Ownership::renewable_until(const std::string& former, std::uint64_t former_lease, Micros now) const {
+  if (former == me_) return now;  // our own former process, which has ended
+  auto it = peers_.find(former);
+  // It lives and says that it no longer goes by that lease.
+  if (it != peers_.end() && now - it->second.at < kPeerFresh && it->second.lease != former_lease) return now;
+  return now + unconfirmed_bound();
+}
+
+bool Ownership::refused_alone(Micros now) const {
+  if (now < valid_until_) return false;
+  return std::any_of(peers_.begin(), peers_.end(),
+                     [&](const auto& p) { return now - p.second.at < kPeerFresh && p.second.state_ok; });
+}
+
+std::vector<int> Ownership::to_take(Micros now) const {
+  std::vector<int> out;
+  if (!lease_valid(now)) return out;
+  for (int s = 0; s < shares(); ++s) {
+    if (holders_.contains(s)) continue;
+    auto it = free_since_.find(s);
+    const Micros free_for = it == free_since_.end() ? now : now - it->second;
+    // The home takes its share at once; the others wait a little, in turn.
+    const int turn = (home_ - s + shares()) % shares();
+    const bool home_alive = peer_alive(node_of(s), now);
+    const Micros wait = turn == 0 ? 0 : home_alive ? kHomeFirst * (turn + 1) : (turn - 1) * kSecond / 2;
+    if (free_for >= wait) out.push_back(s);
+  }
+  return out;
+}
+
+bool Ownership::take_leader(Micros now) const {
+  return !leader_ && lease_valid(now) && now - leader_free_since_ >= home_ * kSecond / 4;
+}
+
+std::optional<int> Ownership::to_hand_back(Micros now) {
+  for (const auto& s : platform_.siblings) {
+    auto it = peers_.find(s.name);
+    const bool good = it != peers_.end() && now - it->second.at < kPeerFresh && it->second.state_ok && it->second.synced;
+    if (!good)
+      settled_since_.erase(s.name);
+    else
+      settled_since_.try_emplace(s.name, now);
+  }
+  for (const auto& [share, key] : holders_) {
+    if (share == home_ || !ours(&key)) continue;
+    auto it = settled_since_.find(node_of(share));
+    if (it != settled_since_.end() && now - it->second >= kSettled) return share;
+  }
+  return {};
+}
+
+int Ownership::share_of_team(const std::string& team) const {
+  for (std::size_t i = 0; i < platform_.teams.size(); ++i)
+    if (platform_.teams[i].name == team) return static_cast<int>(i % nodes_.size());
+  return 0;
+}
+
+}  // namespace aspenwick::share
--- /dev/null
+++ b/src/share/ownership.h
@@ -0,0 +1,91 @@
+// Who holds what: our lease with the state service, the shares' holder keys, the leader key, and what the peers say.
+// Socket-free: fed events and the time.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wire/settings.h"
+
+namespace aspenwick::share {
+
+inline constexpr Micros kHolderLease = 5 * kSecond;
+inline constexpr Micros kRenewEvery = 1500 * kMillisecond;
+
+/// The value of holder/<n> and leader.
+struct HolderKey {
+  std::string node;
+  std::uint64_t lease = 0, epoch = 0, version = 0;
+};
+wire::Json holder_to_json(const HolderKey& h);
+HolderKey holder_from_json(const wire::Json& j, std::uint64_t version);
+
+/// What a peer last said of itself.
+struct PeerSaid {
+  bool state_ok = false, synced = false;
+  std::uint64_t lease = 0;
+  Micros at = 0;
+};
+
+class Ownership {
+ public:
+  explicit Ownership(const wire::PlatformSettings& platform);
+
+  // ---- our lease; its time counts from sending
+  void lease_granted(std::uint64_t id, Micros sent);
+  void lease_renewed(Micros sent);
+  void lease_lost();
+  std::optional<std::uint64_t> lease() const { return lease_; }
+  bool lease_valid(Micros now) const;
+
+  // ---- what the state service shows
+  void holder_set(int share, const HolderKey& key);
+  void holder_removed(int share, Micros now);
+  void leader_set(const HolderKey& key) { leader_ = key; }
+  void leader_removed(Micros now) { leader_.reset(), leader_free_since_ = now; }
+  const HolderKey* holder(int share) const;
+  const HolderKey* leader() const { return leader_ ? &*leader_ : nullptr; }
+  bool ours(const HolderKey* key) const { return key && lease_ && key->lease == *lease_ && key->node == me_; }
+
+  // ---- peers
+  void peer_said(const std::string& node, const PeerSaid& said) { peers_[node] = said; }
+  bool peer_alive(const std::string& node, Micros now) const;
+
+  /// May worker reports be answered (which renews their leases)? Beyond our own lease only while all peers say that
+  /// they lack the state service too; unconfirmed, for no longer than unconfirmed_bound().
+  bool may_renew_workers(Micros now) const;
+  Micros unconfirmed_bound() const;
+  /// The last moment at which the former holder may have renewed a worker's lease, when we take over at `now`.
+  Micros renewable_until(const std::string& former, std::uint64_t former_lease, Micros now) const;
+  /// The state service answers others but not us.
+  bool refused_alone(Micros now) const;
+
+  /// Shares to try to take now.
+  std::vector<int> to_take(Micros now) const;
+  bool take_leader(Micros now) const;
+  /// A share of ours whose home is back and settled.
+  std::optional<int> to_hand_back(Micros now);
+
+  int home_share() const { return home_; }
+  int shares() const { return static_cast<int>(nodes_.size()); }
+  const std::string& node_of(int share) const { return nodes_.at(static_cast<std::size_t>(share)); }
+  int share_of_team(const std::string& team) const;
+
+ private:
+  const wire::PlatformSettings& platform_;
+  std::string me_;
+  std::vector<std::string> nodes_;
+  int home_ = 0;
+  std::optional<std::uint64_t> lease_;
+  Micros valid_until_ = 0;
+  std::map<int, HolderKey> holders_;
+  std::map<int, Micros> free_since_;
+  std::optional<HolderKey> leader_;
+  Micros leader_free_since_ = 0;
+  std::map<std::string, PeerSaid> peers_;
+  std::map<std::string, Micros> settled_since_;
+};
+
+}  // namespace aspenwick::share
--- /dev/null
+++ b/src/share/peer_frame.cpp
@@ -0,0 +1,226 @@
+#include "share/peer_frame.h"
+
+namespace aspenwick::share {
+namespace {
+
+class Writer {
+ public:
+  template <typename T>
+  void num(T v) {
+    for (int shift = static_cast<int>(sizeof(T)) * 8 - 8; shift >= 0; shift -= 8)
+      out_.push_back(static_cast<char>((static_cast<std::uint64_t>(v) >> shift) & 0xff));
+  }
+  void text(const std::string& s) {
+    const std::size_t n = std::min<std::size_t>(s.size(), 255);
+    num<std::uint8_t>(static_cast<std::uint8_t>(n));
+    out_.append(s, 0, n);
+  }
+  void resources(const wire::Resources& r) {
+    num<std::int64_t>(r.cpus);
+    num<std::int64_t>(r.gpus);
+    num<std::int64_t>(r.memory);
+  }
+  std::string take() { return std::move(out_); }
+
+ private:
+  std::string out_;
+};
+
+class Reader {
+ public:
+  Reader(const std::string& in, std::size_t at) : in_(in), at_(at) {}
+  template <typename T>
+  T num() {
+    if (in_.size() - at_ < sizeof(T)) throw BadFrame("short frame");
+    std::uint64_t v = 0;
+    for (std::size_t i = 0; i < sizeof(T); ++i) v = v << 8 | static_cast<unsigned char>(in_[at_++]);
+    return static_cast<T>(v);
+  }
+  std::string text() {
+    const std::size_t n = num<std::uint8_t>();
+    if (in_.size() - at_ < n) throw BadFrame("short frame");
+    std::string s = in_.substr(at_, n);
+    at_ += n;
+    return s;
+  }
+  wire::Resources resources() {
+    wire::Resources r;
+    r.cpus = num<std::int64_t>();
+    r.gpus = num<std::int64_t>();
+    r.memory = num<std::int64_t>();
+    return r;
+  }
+  void end() const {
+    if (at_ != in_.size()) throw BadFrame("bytes left over");
+  }
+
+ private:
+  const std::string& in_;
+  std::size_t at_;
+};
+
+enum Type : std::uint8_t { kGossip = 1, kRelease, kStatusAsk, kStatusTell, kWithdrawn };
+
+void write(Writer& w, const Gossip& g) {
+  w.text(g.node);
+  w.num<std::uint8_t>(static_cast<std::uint8_t>(g.state_ok | g.synced << 1));
+  w.num<std::uint64_t>(g.lease);
+  w.num<std::uint8_t>(static_cast<std::uint8_t>(g.shares.size()));
+  for (const auto& s : g.shares) {
+    w.num<std::int16_t>(static_cast<std::int16_t>(s.share));
+    w.num<std::uint8_t>(s.rebuilt);
+    w.num<std::uint16_t>(static_cast<std::uint16_t>(s.demands.size()));
+    for (const auto& d : s.demands) {
+      w.resources(d.need);
+      w.num<std::uint64_t>(d.types);
+      w.num<std::uint8_t>(d.zone);
+      w.num<std::uint8_t>(static_cast<std::uint8_t>(d.rank));
+      w.num<std::uint8_t>(static_cast<std::uint8_t>(d.shape));
+      w.num<std::uint8_t>(d.spot);
+      w.num<std::uint32_t>(d.waiting);
+      w.num<std::uint32_t>(d.running);
+      w.num<std::uint32_t>(d.closed_zones);
+      w.num<std::uint32_t>(d.per_zone);
+      w.num<std::uint32_t>(d.slack_ms);
+      w.num<std::uint32_t>(d.guess_ms);
+    }
+    w.num<std::uint16_t>(static_cast<std::uint16_t>(s.machines.size()));
+    for (const auto& m : s.machines) {
+      w.text(m.id);
+      w.resources(m.free);
+      w.num<std::uint8_t>(static_cast<std::uint8_t>(m.usable | m.empty << 1 | m.lapsed << 2 | m.suspect << 3));
+      w.num<std::uint32_t>(m.idle_ms);
+    }
+  }
+}
+
+Gossip read_gossip(Reader& r) {
+  Gossip g;
+  g.node = r.text();
+  const auto flags = r.num<std::uint8_t>();
+  g.state_ok = flags & 1, g.synced = flags & 2;
+  g.lease = r.num<std::uint64_t>();
+  const auto shares = r.num<std::uint8_t>();
+  for (int i = 0; i < shares; ++i) {
+    ShareSaid s;
+    s.share = r.num<std::int16_t>();
+    s.rebuilt = r.num<std::uint8_t>() != 0;
+    for (int n = r.num<std::uint16_t>(); n > 0; --n) {
+      Demand d;
+      d.need = r.resources();
+      d.types = r.num<std::uint64_t>();
+      d.zone = r.num<std::uint8_t>();
+      const auto rank = r.num<std::uint8_t>(), shape = r.num<std::uint8_t>();
+      if (rank > 3 || shape > 2) throw BadFrame("bad value");
+      d.rank = static_cast<wire::Rank>(rank);
+      d.shape = static_cast<wire::Shape>(shape);
+      d.spot = r.num<std::uint8_t>() != 0;
+      d.waiting = r.num<std::uint32_t>();
+      d.running = r.num<std::uint32_t>();
+      d.closed_zones = r.num<std::uint32_t>();
+      d.per_zone = r.num<std::uint32_t>();
+      d.slack_ms = r.num<std::uint32_t>();
+      d.guess_ms = r.num<std::uint32_t>();
+      s.demands.push_back(d);
+    }
+    for (int n = r.num<std::uint16_t>(); n > 0; --n) {
+      MachineState m;
+      m.id = r.text();
+      m.free = r.resources();
+      const auto f = r.num<std::uint8_t>();
+      m.usable = f & 1, m.empty = f & 2, m.lapsed = f & 4, m.suspect = f & 8;
+      m.idle_ms = r.num<std::uint32_t>();
+      s.machines.push_back(std::move(m));
+    }
+    g.shares.push_back(std::move(s));
+  }
+  return g;
+}
+
+}  // namespace
+
+std::string encode(const Frame& frame) {
+  Writer body;
+  std::uint8_t type = 0;
+  if (const auto* g = std::get_if<Gossip>(&frame)) {
+    type = kGossip;
+    write(body, *g);
+  } else if (const auto* a = std::get_if<ReleaseAsk>(&frame)) {
+    type = kRelease;
+    body.text(a->machine);
+    body.num<std::int16_t>(static_cast<std::int16_t>(a->to_share));
+  } else if (const auto* s = std::get_if<StatusAsk>(&frame)) {
+    type = kStatusAsk;
+    body.num<std::uint32_t>(s->request);
+    body.text(s->job);
+  } else if (const auto* t = std::get_if<StatusTell>(&frame)) {
+    type = kStatusTell;
+    body.num<std::uint32_t>(t->request);
+    body.num<std::uint8_t>(t->known);
+    body.num<std::uint32_t>(t->done);
+    body.num<std::uint32_t>(t->running);
+  } else if (const auto* w = std::get_if<WithdrawnTell>(&frame)) {
+    type = kWithdrawn;
+    body.text(w->job);
+  }
+  const std::string payload = body.take();
+  Writer head;
+  head.num<std::uint16_t>(kFrameMagic);
+  head.num<std::uint8_t>(kFrameVersion);
+  head.num<std::uint8_t>(type);
+  head.num<std::uint32_t>(static_cast<std::uint32_t>(payload.size()));
+  return head.take() + payload;
+}
+
+std::size_t frame_length(const std::string& header) {
+  Reader r(header, 0);
+  if (r.num<std::uint16_t>() != kFrameMagic) throw BadFrame("not a frame");
+  if (r.num<std::uint8_t>() != kFrameVersion) throw BadFrame("wrong version");
+  r.num<std::uint8_t>();
+  const auto length = r.num<std::uint32_t>();
+  if (length > kMaxFrame) throw BadFrame("frame too long");
+  return kFrameHeader + length;
+}
+
+Frame decode(const std::string& frame) {
+  if (frame.size() != frame_length(frame)) throw BadFrame("wrong length");
+  Reader r(frame, kFrameHeader);
+  Frame out;
+  switch (static_cast<std::uint8_t>(frame[3])) {
+    case kGossip:
+      out = read_gossip(r);
+      break;
+    case kRelease: {
+      ReleaseAsk a;
+      a.machine = r.text();
+      a.to_share = r.num<std::int16_t>();
+      out = a;
+      break;
+    }
+    case kStatusAsk: {
+      StatusAsk a;
+      a.request = r.num<std::uint32_t>();
+      a.job = r.text();
+      out = a;
+      break;
+    }
+    case kStatusTell: {
+      StatusTell t;
+      t.request = r.num<std::uint32_t>();
+      t.known = r.num<std::uint8_t>() != 0;
+      t.done = r.num<std::uint32_t>();
+      t.running = r.num<std::uint32_t>();
+      out = t;
+      break;
+    }
+    case kWithdrawn:
+      out = WithdrawnTell{r.text()};
+      break;
+    default:
+      throw BadFrame("unknown type");
+  }
+  r.end();
+  return out;
+}
+
+}  // namespace aspenwick::share
--- /dev/null
+++ b/src/share/peer_frame.h
@@ -0,0 +1,58 @@
+// What our processes say to one another: packed structs by hand, big-endian, with a version and a checked length.
+#pragma once
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "share/holder.h"
+
+namespace aspenwick::share {
+
+inline constexpr std::uint16_t kFrameMagic = 0xA5E7;
+inline constexpr std::uint8_t kFrameVersion = 1;
+inline constexpr std::size_t kFrameHeader = 8;
+inline constexpr std::size_t kMaxFrame = 32 * 1024;
+
+struct ShareSaid {
+  int share = 0;
+  bool rebuilt = false;
+  std::vector<Demand> demands;
+  std::vector<MachineState> machines;
+};
+struct Gossip {
+  std::string node;
+  bool state_ok = false, synced = false;
+  std::uint64_t lease = 0;
+  std::vector<ShareSaid> shares;
+};
+/// The leader asks a holder to give an empty machine away; share -1: to be deleted.
+struct ReleaseAsk {
+  std::string machine;
+  int to_share = -1;
+};
+struct StatusAsk {
+  std::uint32_t request = 0;
+  std::string job;
+};
+struct StatusTell {
+  std::uint32_t request = 0;
+  bool known = false;
+  std::uint32_t done = 0, running = 0;
+};
+/// A job was withdrawn; told ahead of the watch.
+struct WithdrawnTell {
+  std::string job;
+};
+using Frame = std::variant<Gossip, ReleaseAsk, StatusAsk, StatusTell, WithdrawnTell>;
+
+std::string encode(const Frame& frame);
+
+struct BadFrame : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+/// The length of a whole frame from its header (kFrameHeader bytes); throws BadFrame.
+std::size_t frame_length(const std::string& header);
+Frame decode(const std::string& frame);  // throws BadFrame
+
+}  // namespace aspenwick::share
--- /dev/null
+++ b/src/share/peer_link.cpp
@@ -0,0 +1,134 @@
+#include "share/peer_link.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <spdlog/spdlog.h>
+
+#include <cstring>
+
+namespace aspenwick::share {
+namespace {
+constexpr std::size_t kMaxBacklog = 256 * 1024;  // to a peer that does not read
+constexpr int kMaxIncoming = 32;
+
+sockaddr_in address(const wire::Endpoint& e) {
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons(e.port);
+  if (inet_pton(AF_INET, e.host.c_str(), &a.sin_addr) != 1) throw std::runtime_error("not an IPv4 address: " + e.host);
+  return a;
+}
+}  // namespace
+
+struct PeerLink::Connection {
+  PeerLink* link;
+  bufferevent* bev;
+  std::string node;  // empty: accepted
+  bool up = false;
+  ~Connection() { bufferevent_free(bev); }
+  explicit Connection(PeerLink* l, bufferevent* b, std::string n) : link(l), bev(b), node(std::move(n)) {}
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+};
+
+PeerLink::PeerLink(event_base* base, const wire::PlatformSettings& settings, Handler handler)
+    : base_(base), handler_(std::move(handler)) {
+  const sockaddr_in a = address(settings.peer_listen);
+  listener_ = evconnlistener_new_bind(base, &PeerLink::on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 64,
+                                      reinterpret_cast<const sockaddr*>(&a), sizeof a);
+  if (!listener_) throw std::runtime_error("cannot listen on " + settings.peer_listen.text());
+  for (const auto& s : settings.siblings) peers_[s.name] = s.peer;
+}
+
+PeerLink::~PeerLink() { evconnlistener_free(listener_); }
+
+PeerLink::Connection* PeerLink::add(bufferevent* bev, std::string node) {
+  auto owned = std::make_unique<Connection>(this, bev, std::move(node));
+  Connection* c = owned.get();
+  all_.emplace(c, std::move(owned));
+  bufferevent_setcb(
+      bev, [](bufferevent*, void* arg) { auto* k = static_cast<Connection*>(arg); k->link->read(*k); }, nullptr,
+      [](bufferevent*, short what, void* arg) {
+        auto* k = static_cast<Connection*>(arg);
+        if (what & BEV_EVENT_CONNECTED)
+          k->up = true;
+        else
+          k->link->drop(k);
+      },
+      c);
+  // A peer that is silent for long is behind a cut: start afresh.
+  const timeval silent{4, 0};
+  bufferevent_set_timeouts(bev, c->node.empty() ? &silent : nullptr, &silent);
+  bufferevent_enable(bev, EV_READ | EV_WRITE);
+  return c;
+}
+
+void PeerLink::on_accept(evconnlistener*, int fd, sockaddr*, int, void* arg) {
+  auto* self = static_cast<PeerLink*>(arg);
+  if (self->all_.size() > kMaxIncoming) {
+    evutil_closesocket(fd);
+    return;
+  }
+  self->add(bufferevent_socket_new(self->base_, fd, BEV_OPT_CLOSE_ON_FREE), "")->up = true;
+}
+
+void PeerLink::connect(const std::string& node) {
+  const sockaddr_in a = address(peers_.at(node));
+  bufferevent* bev = bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE);
+  Connection* c = add(bev, node);
+  out_[node] = c;
+  if (bufferevent_socket_connect(bev, reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0 && all_.contains(c)) drop(c);
+}
+
+void PeerLink::drop(Connection* c) {
+  if (auto it = out_.find(c->node); it != out_.end() && it->second == c) out_.erase(it);
+  all_.erase(c);
+}
+
+void PeerLink::read(Connection& c) {
+  Connection* self = &c;
+  evbuffer* in = bufferevent_get_input(c.bev);
+  while (evbuffer_get_length(in) >= kFrameHeader) {
+    try {
+      std::string frame(kFrameHeader, '\0');
+      evbuffer_copyout(in, frame.data(), kFrameHeader);
+      const std::size_t length = frame_length(frame);
+      if (evbuffer_get_length(in) < length) return;
+      frame.resize(length);
+      evbuffer_remove(in, frame.data(), length);
+      handler_(decode(frame), [this, self](const Frame& f) {
+        if (!all_.contains(self)) return;
+        const std::string bytes = encode(f);
+        bufferevent_write(self->bev, bytes.data(), bytes.size());
+      });
+      if (!all_.contains(self)) return;
+    } catch (const BadFrame& e) {
+      spdlog::error("peer link: {}; connection dropped", e.what());
+      drop(self);
+      return;
+    }
+  }
+}
+
+bool PeerLink::send(const std::string& node, const Frame& frame) {
+  auto it = out_.find(node);
+  if (it == out_.end()) {
+    if (peers_.contains(node)) connect(node);
+    return false;
+  }
+  Connection* c = it->second;
+  if (!c->up) return false;
+  if (evbuffer_get_length(bufferevent_get_output(c->bev)) > kMaxBacklog) {
+    drop(c);
+    return false;
+  }
+  const std::string bytes = encode(frame);
+  bufferevent_write(c->bev, bytes.data(), bytes.size());
+  return true;
+}
+
+void PeerLink::broadcast(const Frame& frame) {
+  for (const auto& [node, endpoint] : peers_) send(node, frame);
+}
+
+}  // namespace aspenwick::share
--- /dev/null
+++ b/src/store/client.cpp
@@ -0,0 +1,210 @@
+#include "store/client.h"
+
+#include <spdlog/spdlog.h>
+
+namespace aspenwick::store {
+namespace {
+constexpr double kPart = 0.9;  // of the budget; the rest is for clocks and bursts that overlap
+constexpr Micros kDeadline = 2 * kSecond;
+constexpr Micros kLeaseDeadline = 1200 * kMillisecond;
+constexpr Micros kPump = 20 * kMillisecond;
+constexpr Micros kHold = 8 * kSecond;
+constexpr Micros kWatchPause = 60 * kMillisecond;  // gathers changes: the watch costs requests
+constexpr Micros kWaitInQueue = 3 * kSecond;
+timeval to_timeval(Micros t) { return {t / kSecond, static_cast<suseconds_t>(t % kSecond)}; }
+}  // namespace
+
+Client::Client(event_base* base, net::Client& http, const wire::PlatformSettings& s, std::function<Micros()> clock)
+    : base_(base), http_(http), state_(s.state), clock_(std::move(clock)), txn_ops_(s.txn_ops) {
+  const double nodes = static_cast<double>(s.siblings.size() + 1);
+  requests_ = {s.state_rps * kPart / nodes, s.state_rps * kPart / nodes, s.state_rps * kPart / nodes, clock_()};
+  // A burst must let a whole transaction through.
+  writes_ = {s.state_write_rps * kPart / nodes, std::max(4.0, s.state_write_rps * kPart / nodes), 4, clock_()};
+  pump_timer_ = evtimer_new(
+      base, [](evutil_socket_t, short, void* self) { static_cast<Client*>(self)->pump(); }, this);
+}
+
+Client::~Client() { event_free(pump_timer_); }
+
+void Client::later(Micros delay, std::function<void()> what) {
+  const timeval tv = to_timeval(delay);
+  event_base_once(
+      base_, -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void* f) {
+        std::unique_ptr<std::function<void()>> fn(static_cast<std::function<void()>*>(f));
+        (*fn)();
+      },
+      new std::function<void()>(std::move(what)), &tv);
+}
+
+bool Client::ok(Micros now) const { return last_ok_ >= last_bad_ ? now - last_ok_ < 4 * kSecond : false; }
+
+bool Client::writes_spare() const { return writes_.level > writes_.burst * 0.4 && queues_[1].empty(); }
+
+void Client::submit(Urgency urgency, Request request) {
+  request.queued = clock_();
+  if (urgency == Urgency::now) {
+    requests_.level -= 1;
+    send(std::move(request));
+    return;
+  }
+  queues_[static_cast<std::size_t>(urgency)].push_back(std::move(request));
+  pump();
+}
+
+void Client::pump() {
+  const Micros now = clock_();
+  requests_.refill(now);
+  writes_.refill(now);
+  bool waiting = false;
+  for (auto& queue : queues_) {
+    while (!queue.empty()) {
+      Request& r = queue.front();
+      if (now - r.queued > kWaitInQueue) {
+        Request late = std::move(r);
+        queue.pop_front();
+        late.done(429, "");  // surely not executed
+        continue;
+      }
+      const double writes = std::min<double>(r.writes, writes_.burst);
+      if (now < slow_until_ || requests_.level < 1 || (r.writes > 0 && writes_.level < writes)) break;
+      requests_.level -= 1;
+      writes_.level -= r.writes;
+      Request go = std::move(r);
+      queue.pop_front();
+      send(std::move(go));
+    }
+    waiting = waiting || !queue.empty();
+  }
+  if (waiting) {
+    const timeval tv = to_timeval(kPump);
+    evtimer_add(pump_timer_, &tv);
+  }
+}
+
+void Client::send(Request r) {
+  http_.request(r.method, state_, r.path, r.body, r.deadline,
+                [this, done = std::move(r.done)](int status, const std::string& body) {
+                  const Micros now = clock_();
+                  if (status == 0 || status == 503)
+                    last_bad_ = now;
+                  else if (status != 429)
+                    last_ok_ = now;
+                  if (status == 429) slow_until_ = now + 150 * kMillisecond;
+                  done(status, body);
+                });
+}
+
+void Client::commit(std::vector<wire::Guard> guards, std::vector<wire::Write> writes, Urgency urgency, Committed done) {
+  submit(urgency, {EVHTTP_REQ_POST, "/commit", wire::commit_body(guards, writes), static_cast<int>(writes.size()),
+                   kDeadline, 0, [done = std::move(done)](int status, const std::string& body) {
+                     std::uint64_t revision = 0;
+                     if (status == 200) {
+                       const auto j = wire::Json::parse(body, nullptr, false);
+                       if (!j.is_discarded()) revision = j.value("ledgerRev", std::uint64_t{0});
+                     }
+                     done(status, revision);
+                   }});
+}
+
+void Client::get(const std::string& key, Urgency urgency, Got done) {
+  submit(urgency, {EVHTTP_REQ_GET, "/kv/" + key, "", 0, kDeadline, 0,
+                   [done = std::move(done)](int status, const std::string& body) {
+                     wire::Row row;
+                     if (status == 200) {
+                       try {
+                         row = wire::parse_row(body);
+                       } catch (const std::exception&) {
+                         status = 0;
+                       }
+                     }
+                     done(status, row);
+                   }});
+}
+
+void Client::list(const std::string& prefix, Listed done) { list_page(prefix, "", {}, 0, std::move(done)); }
+
+void Client::list_page(const std::string& prefix, const std::string& after, std::vector<wire::Row> sofar,
+                       std::uint64_t revision, Listed done) {
+  std::string path = "/kv?under=" + prefix + "&page=500";
+  if (!after.empty()) path += "&since=" + after;
+  submit(Urgency::user,
+         {EVHTTP_REQ_GET, path, "", 0, 3 * kSecond, 0,
+          [this, prefix, sofar = std::move(sofar), revision, done = std::move(done)](int status,
+                                                                                    const std::string& body) mutable {
+            if (status != 200) return done(false, {}, 0);
+            wire::Page page;
+            try {
+              page = wire::parse_page(body);
+            } catch (const std::exception& e) {
+              spdlog::error("state service: {}", e.what());
+              return done(false, {}, 0);
+            }
+            // Changes are followed from the first page on: later pages may be newer, which replaying them mends.
+            if (revision == 0) revision = page.revision;
+            for (auto& r : page.rows) sofar.push_back(std::move(r));
+            if (!page.more || page.rows.empty()) return done(true, std::move(sofar), revision);
+            const std::string last = sofar.back().key;
+            list_page(prefix, last, std::move(sofar), revision, std::move(done));
+          }});
+}
+
+void Client::grant(Micros life, std::function<void(int, std::uint64_t)> done) {
+  submit(Urgency::now, {EVHTTP_REQ_POST, "/grants", wire::lease_body(life), 0, kLeaseDeadline, 0,
+                        [done = std::move(done)](int status, const std::string& body) {
+                          std::uint64_t lease = 0;
+                          if (status == 200) try {
+                              lease = wire::parse_lease(body);
+                            } catch (const std::exception&) {
+                              status = 0;
+                            }
+                          done(status, lease);
+                        }});
+}
+
+void Client::renew(std::uint64_t lease, std::function<void(int)> done) {
+  submit(Urgency::now, {EVHTTP_REQ_POST, "/grants/" + std::to_string(lease) + "/extend", "{}", 0, kLeaseDeadline, 0,
+                        [done = std::move(done)](int status, const std::string&) { done(status); }});
+}
+
+void Client::revoke(std::uint64_t lease, std::function<void(int)> done) {
+  submit(Urgency::now, {EVHTTP_REQ_DELETE, "/grants/" + std::to_string(lease), "", 0, kLeaseDeadline, 0,
+                        [done = std::move(done)](int status, const std::string&) { done(status); }});
+}
+
+void Client::watch(const std::string& prefix, Watcher watcher) {
+  watch_prefix_ = prefix;
+  watcher_ = std::move(watcher);
+  read_all();
+}
+
+void Client::read_all() {
+  list(watch_prefix_, [this](bool ok, std::vector<wire::Row> rows, std::uint64_t revision) {
+    if (!ok) return later(300 * kMillisecond, [this] { read_all(); });
+    watch_revision_ = revision;
+    watcher_.reset(std::move(rows));
+    follow();
+  });
+}
+
+void Client::follow() {
+  const std::string path = "/changes?under=" + watch_prefix_ + "&since=" + std::to_string(watch_revision_) +
+                           "&holdMs=" + std::to_string(kHold / kMillisecond);
+  requests_.level -= 1;
+  // Not through send(): an open watch that waits says nothing of the service's health.
+  http_.request(EVHTTP_REQ_GET, state_, path, "", kHold + 2 * kSecond, [this](int status, const std::string& body) {
+    if (status == 410) return read_all();
+    if (status != 200) return later(250 * kMillisecond, [this] { follow(); });
+    try {
+      wire::Page page = wire::parse_changes(body);
+      watch_revision_ = std::max(watch_revision_, page.revision);
+      if (!page.rows.empty()) watcher_.changed(std::move(page.rows));
+    } catch (const std::exception& e) {
+      spdlog::error("state service: watch: {}", e.what());
+      return later(kSecond, [this] { read_all(); });
+    }
+    later(kWatchPause, [this] { follow(); });
+  });
+}
+
+}  // namespace aspenwick::store
--- /dev/null
+++ b/src/store/client.h
@@ -0,0 +1,93 @@
+// The client of the state service: request and write budgets (this node's part of them), guarded commits, leases, and
+// a watch that reads the keys again after a 410.
+#pragma once
+#include <event2/event.h>
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "net/http.h"
+#include "wire/wire.h"
+
+namespace aspenwick::store {
+
+/// Lease renewals go at once; the rest waits for the budget, in this order.
+enum class Urgency : std::uint8_t { now, user, read, background };
+
+struct TokenBucket {
+  double rate = 1, burst = 1, level = 1;
+  Micros last = 0;
+  void refill(Micros now) {
+    level = std::min(burst, level + rate * to_seconds(now - last));
+    last = now;
+  }
+};
+
+class Client {
+ public:
+  Client(event_base* base, net::Client& http, const wire::PlatformSettings& settings, std::function<Micros()> clock);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  /// status as HTTP; 0: unknown whether executed. `revision`: of the commit, if 200.
+  using Committed = std::function<void(int status, std::uint64_t revision)>;
+  void commit(std::vector<wire::Guard> guards, std::vector<wire::Write> writes, Urgency urgency, Committed done);
+  using Got = std::function<void(int status, const wire::Row& row)>;
+  void get(const std::string& key, Urgency urgency, Got done);
+  using Listed = std::function<void(bool ok, std::vector<wire::Row> rows, std::uint64_t revision)>;
+  void list(const std::string& prefix, Listed done);
+
+  void grant(Micros life, std::function<void(int status, std::uint64_t lease)> done);
+  void renew(std::uint64_t lease, std::function<void(int status)> done);
+  void revoke(std::uint64_t lease, std::function<void(int status)> done);
+
+  /// Reads all keys under the prefix, then follows their changes. After a 410 all is read again.
+  struct Watcher {
+    std::function<void(std::vector<wire::Row> all)> reset;
+    std::function<void(std::vector<wire::Row> changes)> changed;
+  };
+  void watch(const std::string& prefix, Watcher watcher);
+
+  /// The service answered lately.
+  bool ok(Micros now) const;
+  /// So much waits already that one more would be late.
+  bool crowded() const { return queues_[1].size() > 30; }
+  std::size_t txn_ops() const { return txn_ops_; }
+  bool writes_spare() const;
+
+ private:
+  struct Request {
+    evhttp_cmd_type method;
+    std::string path, body;
+    int writes;
+    Micros deadline, queued;
+    net::Answered done;
+  };
+  void submit(Urgency urgency, Request request);
+  void send(Request request);
+  void pump();
+  void follow();
+  void read_all();
+  void list_page(const std::string& prefix, const std::string& after, std::vector<wire::Row> sofar,
+                 std::uint64_t revision, Listed done);
+  void later(Micros delay, std::function<void()> what);
+
+  event_base* base_;
+  net::Client& http_;
+  wire::Endpoint state_;
+  std::function<Micros()> clock_;
+  TokenBucket requests_, writes_;
+  std::size_t txn_ops_;
+  std::array<std::deque<Request>, 4> queues_;
+  event* pump_timer_ = nullptr;
+  Micros last_ok_ = 0, last_bad_ = 0, slow_until_ = 0;
+  std::string watch_prefix_;
+  Watcher watcher_;
+  std::uint64_t watch_revision_ = 0;
+};
+
+}  // namespace aspenwick::store
--- /dev/null
+++ b/src/wire/settings.h
@@ -0,0 +1,51 @@
+// The settings file that the platform hands to every node.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "wire/wire.h"
+
+namespace aspenwick::wire {
+
+struct Endpoint {
+  std::string host;
+  std::uint16_t port = 0;
+  std::string text() const { return host + ":" + std::to_string(port); }
+  bool operator==(const Endpoint&) const = default;
+};
+Endpoint parse_endpoint(const std::string& s);  // throws Malformed
+
+struct Team {
+  std::string name;
+  Resources guaranteed;  // memory unused
+  Resources limit;       // 0: none
+};
+struct Objective {
+  std::string kind, job_class;
+  Micros within = 0;
+  double share = 0, times = 1;
+};
+struct Sibling {
+  std::string name, zone;
+  Endpoint peer;
+};
+struct PlatformSettings {
+  std::string name, zone;
+  Endpoint listen, peer_listen, cloud, state;
+  std::vector<Sibling> siblings;
+  std::vector<std::string> zones;
+  std::vector<Team> teams;  // by name
+  std::vector<Objective> objectives;
+  Micros report = 0, worker_lease = 0, gang_wait = 0, gang_peer = 0, cancel = 0;
+  double state_rps = 0, state_write_rps = 0, cloud_rps = 0;
+  std::size_t value_bytes = 0, txn_ops = 0;
+  Micros list_lag = 0;
+  int sockets = 0;
+  Micros clock_error = 0;
+
+  /// All nodes in name order: the home of share n is the n-th of them.
+  std::vector<std::string> nodes() const;
+};
+PlatformSettings parse_settings(const std::string& body);  // throws Malformed naming the field
+
+}  // namespace aspenwick::wire
--- /dev/null
+++ b/src/wire/time.h
@@ -0,0 +1,16 @@
+#pragma once
+#include <cmath>
+#include <cstdint>
+
+namespace aspenwick {
+
+/// Times in the code are whole microseconds.
+using Micros = std::int64_t;
+
+inline constexpr Micros kMillisecond = 1'000;
+inline constexpr Micros kSecond = 1'000'000;
+
+inline Micros from_seconds(double s) { return static_cast<Micros>(std::llround(s * 1e6)); }
+inline double to_seconds(Micros t) { return static_cast<double>(t) / 1e6; }
+
+}  // namespace aspenwick
--- /dev/null
+++ b/src/wire/wire.cpp
@@ -0,0 +1,339 @@
+#include "wire/wire.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace aspenwick::wire {
+namespace {
+
+constexpr std::array kShapes{"array", "group", "service"};
+constexpr std::array kRanks{"low", "normal", "high", "production"};
+constexpr std::array kStatuses{"queued", "running", "done", "withdrawn"};
+constexpr std::array kStates{"fetching", "waiting", "running", "flushing", "ended"};
+constexpr std::array kCauses{"",      "done",    "stopped", "mates_gone", "incomplete",
+                             "error", "no_room", "in_use",  "no_such"};
+constexpr std::size_t kMaxName = 200;
+
+Json parse(const std::string& body) {
+  Json j = Json::parse(body, nullptr, false);
+  if (j.is_discarded()) throw Malformed("not JSON");
+  if (!j.is_object()) throw Malformed("not an object");
+  return j;
+}
+
+const Json& field(const Json& j, const char* name) {
+  auto it = j.find(name);
+  if (it == j.end()) throw Malformed(std::string("missing field ") + name);
+  return *it;
+}
+
+std::string text(const Json& j, const char* name, bool may_be_empty = false) {
+  const Json& v = field(j, name);
+  if (!v.is_string()) throw Malformed(std::string("not a string: ") + name);
+  auto s = v.get<std::string>();
+  if ((s.empty() && !may_be_empty) || s.size() > kMaxName) throw Malformed(std::string("bad length: ") + name);
+  return s;
+}
+
+double amount(const Json& j, const char* name) {
+  const Json& v = field(j, name);
+  if (!v.is_number()) throw Malformed(std::string("not a number: ") + name);
+  double d = v.get<double>();
+  // The upper bound keeps sums of the largest job inside 64 bits.
+  if (!std::isfinite(d) || d < 0 || d > 1e7) throw Malformed(std::string("out of range: ") + name);
+  return d;
+}
+
+bool flag(const Json& j, const char* name) {
+  const Json& v = field(j, name);
+  if (!v.is_boolean()) throw Malformed(std::string("not true or false: ") + name);
+  return v.get<bool>();
+}
+
+std::uint64_t count(const Json& j, const char* name) {
+  const Json& v = field(j, name);
+  if (!v.is_number_integer() || (!v.is_number_unsigned() && v.get<std::int64_t>() < 0))
+    throw Malformed(std::string("not a count: ") + name);
+  return v.get<std::uint64_t>();
+}
+
+const Json* optional_field(const Json& j, const char* name) {
+  auto it = j.find(name);
+  return it == j.end() || it->is_null() ? nullptr : &*it;
+}
+
+template <typename Enum, std::size_t N>
+Enum name_of(const Json& j, const char* field_name, const std::array<const char*, N>& names) {
+  const std::string s = text(j, field_name);
+  auto it = std::find(names.begin(), names.end(), s);
+  if (it == names.end()) throw Malformed(std::string("unknown value of ") + field_name);
+  return static_cast<Enum>(it - names.begin());
+}
+
+template <typename Enum, std::size_t N>
+const char* name(Enum e, const std::array<const char*, N>& names) {
+  return names.at(static_cast<std::size_t>(e));
+}
+
+/// "j-000412/3" -> job and index.
+std::pair<std::string, std::uint32_t> parse_task(const std::string& s) {
+  const auto slash = s.rfind('/');
+  std::uint32_t index = 0;
+  if (slash == std::string::npos || slash == 0 || slash + 1 == s.size()) throw Malformed("bad task name");
+  const char* end = s.data() + s.size();
+  auto [p, ec] = std::from_chars(s.data() + slash + 1, end, index);
+  if (ec != std::errc{} || p != end || index >= kMaxTasks) throw Malformed("bad task name");
+  return {s.substr(0, slash), index};
+}
+
+Json order_to_json(const Order& o) {
+  static constexpr std::array kVerbs{"launch", "halt", "forget"};
+  Json j{{"verb", name(o.verb, kVerbs)},
+         {"piece", o.job + "/" + std::to_string(o.index)},
+         {"try", o.attempt}};
+  if (o.verb == Order::Verb::halt) j["windDownS"] = to_seconds(o.grace);
+  return j;
+}
+
+Json orders_to_json(const std::vector<Order>& orders) {
+  Json list = Json::array();
+  for (const auto& o : orders) list.push_back(order_to_json(o));
+  return list;
+}
+
+}  // namespace
+
+std::int64_t to_units(double amount) { return std::llround(amount * 1e6); }
+
+bool valid_job_id(const std::string& id) {
+  return id.size() > 2 && id.size() <= 40 && id.starts_with("j-") &&
+         std::all_of(id.begin() + 2, id.end(), [](unsigned char c) { return c >= '0' && c <= '9'; });
+}
+
+JobSpec parse_job(const std::string& body) {
+  if (body.size() > kMaxBody) throw Malformed("body over 64 KiB");
+  return job_from_json(parse(body));
+}
+
+JobSpec job_from_json(const Json& j) {
+  JobSpec s;
+  s.id = text(j, "nameId");
+  if (!valid_job_id(s.id)) throw Malformed("bad nameId");
+  s.job_class = text(j, "jobclass");
+  s.team = text(j, "owner");
+  s.shape = name_of<Shape>(j, "shape", kShapes);
+  s.rank = name_of<Rank>(j, "rank", kRanks);
+  const std::uint64_t tasks = count(j, "pieces");
+  if (tasks == 0 || tasks > kMaxTasks) throw Malformed("out of range: pieces");
+  s.tasks = static_cast<std::uint32_t>(tasks);
+  s.need = {to_units(amount(j, "vcpus")), to_units(amount(j, "cards")), to_units(amount(j, "ramGb"))};
+  s.image = text(j, "bundle", true);
+  s.image_gb = amount(j, "sizeGb");
+  if (const Json* types = optional_field(j, "rigtypes")) {
+    if (!types->is_array() || types->size() > 100) throw Malformed("not a list: rigtypes");
+    s.types.emplace();
+    for (const Json& t : *types) {
+      if (!t.is_string() || t.get_ref<const std::string&>().size() > kMaxName) throw Malformed("bad entry: rigtypes");
+      s.types->push_back(t.get<std::string>());
+    }
+  }
+  if (optional_field(j, "site")) s.zone = text(j, "site");
+  s.one_zone = flag(j, "together");
+  s.spread = flag(j, "spread");
+  s.spot = flag(j, "loaner");
+  s.estimate = from_seconds(amount(j, "guessS"));
+  s.checkpoint_every = from_seconds(amount(j, "snapshotEveryS"));
+  s.save_time = from_seconds(amount(j, "snapshotS"));
+  if (optional_field(j, "dueS")) s.deadline = from_seconds(amount(j, "dueS"));
+  return s;
+}
+
+Json job_to_json(const JobSpec& s) {
+  auto units = [](std::int64_t u) { return static_cast<double>(u) / 1e6; };
+  Json j{{"nameId", s.id},
+         {"jobclass", s.job_class},
+         {"owner", s.team},
+         {"shape", name(s.shape, kShapes)},
+         {"rank", name(s.rank, kRanks)},
+         {"pieces", s.tasks},
+         {"vcpus", units(s.need.cpus)},
+         {"cards", units(s.need.gpus)},
+         {"ramGb", units(s.need.memory)},
+         {"bundle", s.image},
+         {"sizeGb", s.image_gb},
+         {"together", s.one_zone},
+         {"spread", s.spread},
+         {"loaner", s.spot},
+         {"guessS", to_seconds(s.estimate)},
+         {"snapshotEveryS", to_seconds(s.checkpoint_every)},
+         {"snapshotS", to_seconds(s.save_time)}};
+  if (s.types) j["rigtypes"] = *s.types;
+  if (s.zone) j["site"] = *s.zone;
+  if (s.deadline) j["dueS"] = to_seconds(*s.deadline);
+  return j;
+}
+
+std::string status_body(const std::string& id, JobStatus status,
+                        std::optional<std::pair<std::uint32_t, std::uint32_t>> done_running) {
+  Json j{{"nameId", id}, {"status", name(status, kStatuses)}};
+  if (done_running) j["done"] = done_running->first, j["running"] = done_running->second;
+  return j.dump();
+}
+
+std::string error_body(const std::string& reason) {
+  return Json{{"error", reason}}.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+WorkerReport parse_report(const std::string& body) {
+  const Json j = parse(body);
+  WorkerReport r;
+  r.machine = text(j, "rig");
+  r.address = text(j, "endpoint");
+  r.type = text(j, "rigtype");
+  r.zone = text(j, "site");
+  r.spot = flag(j, "loaner");
+  r.session = count(j, "stint");
+  r.seq = count(j, "tally");
+  r.token = optional_field(j, "baton") ? count(j, "baton") : 0;
+  if (optional_field(j, "warningS")) r.notice = from_seconds(amount(j, "warningS"));
+  if (const Json* pieces = optional_field(j, "pieces")) {
+    if (!pieces->is_array()) throw Malformed("not a list: pieces");
+    for (const Json& p : *pieces) {
+      if (!p.is_object()) throw Malformed("bad entry: pieces");
+      TaskReport t;
+      std::tie(t.job, t.index) = parse_task(text(p, "piece"));
+      t.attempt = count(p, "try");
+      t.state = name_of<TaskState>(p, "status", kStates);
+      if (optional_field(p, "cause")) t.cause = name_of<Cause>(p, "cause", kCauses);
+      if (const Json* saved = optional_field(p, "stored")) t.saved = saved->is_boolean() && saved->get<bool>();
+      r.tasks.push_back(std::move(t));
+    }
+  }
+  return r;
+}
+
+std::string report_answer(std::uint64_t token, const std::vector<Order>& orders) {
+  return Json{{"baton", token}, {"orders", orders_to_json(orders)}}.dump();
+}
+
+std::string redirect_body(const std::string& node) { return Json{{"foreman", node}}.dump(); }
+
+std::string direct_orders(std::uint64_t token, std::uint64_t session, const std::vector<Order>& orders) {
+  return Json{{"baton", token}, {"stint", session}, {"orders", orders_to_json(orders)}}.dump();
+}
+
+std::vector<MachineType> parse_types(const std::string& body) { return types_from_json(parse(body)); }
+
+std::vector<MachineType> types_from_json(const Json& j) {
+  std::vector<MachineType> out;
+  for (const Json& t : field(j, "rigtypes")) {
+    MachineType m;
+    m.name = text(t, "sku");
+    m.total = {to_units(amount(t, "vcpus")), to_units(amount(t, "cards")), to_units(amount(t, "ramGb"))};
+    m.price = amount(t, "price");
+    m.spot_price = optional_field(t, "lowPrice") ? amount(t, "lowPrice") : m.price;
+    m.cache_gb = optional_field(t, "localGb") ? amount(t, "localGb") : 0;
+    m.fetch_gb_per_s = optional_field(t, "fetchGbPerS") ? amount(t, "fetchGbPerS") : 1;
+    m.boot = from_seconds(amount(t, "startupS"));
+    for (const Json& z : field(t, "sites"))
+      if (z.is_string()) m.zones.push_back(z.get<std::string>());
+    out.push_back(std::move(m));
+  }
+  std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.name < b.name; });
+  return out;
+}
+
+Json types_to_json(const std::vector<MachineType>& types) {
+  Json list = Json::array();
+  for (const auto& m : types)
+    list.push_back({{"sku", m.name},
+                    {"vcpus", static_cast<double>(m.total.cpus) / 1e6},
+                    {"cards", static_cast<double>(m.total.gpus) / 1e6},
+                    {"ramGb", static_cast<double>(m.total.memory) / 1e6},
+                    {"price", m.price},
+                    {"lowPrice", m.spot_price},
+                    {"localGb", m.cache_gb},
+                    {"fetchGbPerS", m.fetch_gb_per_s},
+                    {"startupS", to_seconds(m.boot)},
+                    {"sites", m.zones}});
+  return {{"rigtypes", list}};
+}
+
+CloudPage parse_cloud_page(const std::string& body) {
+  const Json j = parse(body);
+  CloudPage page;
+  for (const Json& m : field(j, "rigs")) {
+    CloudMachine c;
+    c.id = text(m, "nameId");
+    if (optional_field(m, "endpoint")) c.address = text(m, "endpoint", true);
+    c.type = text(m, "rigtype");
+    c.zone = text(m, "site");
+    c.spot = flag(m, "loaner");
+    c.state = text(m, "status");
+    c.age = from_seconds(amount(m, "ageS"));
+    page.machines.push_back(std::move(c));
+  }
+  if (const Json* more = optional_field(j, "hasNext")) page.more = more->is_boolean() && more->get<bool>();
+  return page;
+}
+
+std::string rental_body(const std::string& request, const std::string& type, const std::string& zone, bool spot,
+                        int count) {
+  return Json{{"hire", request}, {"rigtype", type}, {"site", zone}, {"loaner", spot}, {"count", count}}.dump();
+}
+
+std::vector<std::string> parse_rented(const std::string& body) {
+  return field(parse(body), "rigs").get<std::vector<std::string>>();
+}
+
+std::string rental_delete_body(const std::vector<std::string>& ids) { return Json{{"rigs", ids}}.dump(); }
+
+std::string commit_body(const std::vector<Guard>& guards, const std::vector<Write>& writes) {
+  Json g = Json::array(), w = Json::array();
+  for (const auto& x : guards) g.push_back({{"path", x.key}, {"stamp", x.version}});
+  for (const auto& x : writes) {
+    if (x.remove) {
+      w.push_back({{"delete", x.key}});
+      continue;
+    }
+    Json put{{"set", x.key}, {"value", x.value}};
+    if (x.lease) put["hold"] = *x.lease;
+    w.push_back(std::move(put));
+  }
+  return Json{{"guards", std::move(g)}, {"writes", std::move(w)}}.dump();
+}
+
+Page parse_page(const std::string& body) {
+  Json j = parse(body);
+  Page p;
+  for (Json& r : j.at("rows"))
+    p.rows.push_back({r.at("path").get<std::string>(), std::move(r.at("value")), count(r, "stamp"), false});
+  if (const Json* more = optional_field(j, "hasNext")) p.more = more->is_boolean() && more->get<bool>();
+  p.revision = count(j, "ledgerRev");
+  return p;
+}
+
+Page parse_changes(const std::string& body) {
+  Json j = parse(body);
+  Page p;
+  p.revision = count(j, "ledgerRev");
+  if (!optional_field(j, "news")) return p;
+  for (Json& r : j.at("news")) {
+    if (r.contains("delete"))
+      p.rows.push_back({r.at("delete").get<std::string>(), nullptr, count(r, "stamp"), true});
+    else
+      p.rows.push_back({r.at("set").get<std::string>(), std::move(r.at("value")), count(r, "stamp"), false});
+  }
+  return p;
+}
+
+Row parse_row(const std::string& body) {
+  Json j = parse(body);
+  return {text(j, "path"), j.at("value"), count(j, "stamp"), false};
+}
+
+std::uint64_t parse_lease(const std::string& body) { return count(parse(body), "hold"); }
+std::string lease_body(Micros life) { return Json{{"lifeMs", life / kMillisecond}}.dump(); }
+
+}  // namespace aspenwick::wire
