--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -536,11 +536,11 @@
   return !j.bad_machines.contains(m.record.id);
 }
 
-bool Holder::has_room(const Job& j, const Machine& m) const {
-  Resources room = m.free;
+bool Holder::fits(const Job& j, const Machine& m, const Resources& free) const {
+  Resources room = free;
   if (j.spec->need.gpus == 0 && m.type->total.gpus > 0) {
     // Keep for each free GPU the CPUs and memory that its tasks take along.
-    const double free_share = static_cast<double>(std::max<std::int64_t>(0, m.free.gpus)) / static_cast<double>(m.type->total.gpus);
+    const double free_share = static_cast<double>(std::max<std::int64_t>(0, free.gpus)) / static_cast<double>(m.type->total.gpus);
     room.cpus -= static_cast<std::int64_t>(free_share * 0.9 * static_cast<double>(m.type->total.cpus));
     room.memory -= static_cast<std::int64_t>(free_share * 0.9 * static_cast<double>(m.type->total.memory));
   }
@@ -561,7 +561,7 @@
   const int zone_limit = static_cast<int>((j.spec->tasks + 1) / 2);
   std::vector<Machine*> fit;
   for (auto& [id, m] : machines_) {
-    if (!machine_allowed(j, m, now) || !has_room(j, m)) continue;
+    if (!machine_allowed(j, m, now) || !fits(j, m, m.free)) continue;
     if (m.tasks.contains({j.id, index})) continue;  // an old attempt is still there
     if (j.spec->one_zone && !zones.empty() && !zones.contains(m.record.zone)) continue;
     if (j.spec->spread)
@@ -636,7 +636,7 @@
     for (const auto& [key, p] : m.tasks)
       if (p.halting) coming += p.need, stopping = true;
     if (stopping) {  // room that is already on its way
-      while (missing > 0 && j.spec->need.fits_in(coming)) coming -= j.spec->need, --missing;
+      while (missing > 0 && fits(j, m, coming)) coming -= j.spec->need, --missing;
       if (missing <= 0) return false;
     }
     std::vector<Placed*> low;
@@ -648,12 +648,13 @@
     std::vector<Placed*> victims;
     double loss = 0;
     for (Placed* p : low) {
-      if (j.spec->need.fits_in(coming)) break;
+      if (fits(j, m, coming)) break;
       coming += p->need;
       victims.push_back(p);
       loss += to_seconds(now - p->started) * static_cast<double>(p->need.cpus + 8 * p->need.gpus);
     }
-    if (victims.empty() || !j.spec->need.fits_in(coming)) continue;
+    // The same test as for placing: else tasks are stopped for room that is then refused, again and again.
+    if (victims.empty() || !fits(j, m, coming)) continue;
     if (!best || loss < best_loss) best = &m, best_victims = victims, best_loss = loss;
   }
   if (!best) return false;
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -211,7 +211,7 @@
   bool place_gang(Job& j, Micros now);
   bool place_allowed(const Job& j) const;
   bool machine_allowed(const Job& j, const Machine& m, Micros now) const;
-  bool has_room(const Job& j, const Machine& m) const;
+  bool fits(const Job& j, const Machine& m, const Resources& free) const;
   bool within_limit(const Job& j, std::uint32_t tasks) const;
   bool make_room(Job& j, Micros now);
   std::optional<std::uint32_t> next_task(Job& j);
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -4,6 +4,7 @@
 
 namespace aspenwick::store {
 namespace {
+constexpr double kWritePart = 0.6;
 constexpr double kPart = 0.9;  // of the budget; the rest is for clocks and bursts that overlap
 constexpr Micros kDeadline = 2 * kSecond;
 constexpr Micros kLeaseDeadline = 1200 * kMillisecond;
@@ -18,8 +19,10 @@
     : base_(base), http_(http), state_(s.state), clock_(std::move(clock)), txn_ops_(s.txn_ops) {
   const double nodes = static_cast<double>(s.siblings.size() + 1);
   requests_ = {s.state_rps * kPart / nodes, s.state_rps * kPart / nodes, s.state_rps * kPart / nodes, clock_()};
-  // A burst must let a whole transaction through.
-  writes_ = {s.state_write_rps * kPart / nodes, std::max(4.0, s.state_write_rps * kPart / nodes), 4, clock_()};
+  // Changes come in bursts at one node: it may use more than its part, and a 429, which surely executed nothing, is
+  // tried again. Background writes wait until the bucket is well filled.
+  const double writes = s.state_write_rps * kWritePart;
+  writes_ = {writes, std::max(4.0, writes), std::max(4.0, writes), clock_()};
   pump_timer_ = evtimer_new(
       base, [](evutil_socket_t, short, void* self) { static_cast<Client*>(self)->pump(); }, this);
 }
@@ -72,6 +75,13 @@
       writes_.level -= r.writes;
       Request go = std::move(r);
       queue.pop_front();
+      // Once more if refused for the budget: nothing was executed.
+      auto again = std::make_shared<Request>(go);
+      go.done = [this, again, &queue](int status, const std::string& body) {
+        if (status != 429 || clock_() - again->queued > kWaitInQueue) return again->done(status, body);
+        queue.push_front(std::move(*again));
+        pump();
+      };
       send(std::move(go));
     }
     waiting = waiting || !queue.empty();
