--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kMaxOrders = 300;      // keeps an answer well under 64 KiB
 constexpr Micros kRepeatHalt = kSecond;
 constexpr Micros kPushAgain = 2 * kSecond;
+constexpr Micros kHoldRoom = 3 * kSecond;     // for what it was made
 constexpr Micros kDefaultWait = 60 * kSecond;
 }  // namespace
 
@@ -530,6 +531,8 @@
 
 bool Holder::machine_allowed(const Job& j, const Machine& m, Micros now) const {
   if (!m.type || !m.up || !m.accounted || m.leaving || m.taken_at || m.suspect_until > now) return false;
+  // Room that is being made bit by bit must not be filled again from below.
+  if (m.held_until > now && j.spec->rank < m.held_for) return false;
   if (m.record.spot && !j.spec->spot) return false;
   if (j.spec->zone && *j.spec->zone != m.record.zone) return false;
   if (!job::type_allowed(*j.spec, *m.type)) return false;
@@ -658,6 +661,8 @@
     if (!best || loss < best_loss) best = &m, best_victims = victims, best_loss = loss;
   }
   if (!best) return false;
+  best->held_for = j.spec->rank;
+  best->held_until = now + kHoldRoom;
   for (Placed* p : best_victims) {
     spdlog::debug("preempt {}/{} on {} for {}", p->job_id, p->index, best->record.id, j.id);
     const Micros grace = p->job->spec->checkpoint_every > 0 ? p->job->spec->save_time : 0;
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -168,6 +168,8 @@
     std::optional<Micros> taken_at;
     Micros suspect_until = 0, idle_since = 0, last_report = 0, push_again = 0;
     std::set<std::string> error_jobs;
+    wire::Rank held_for = wire::Rank::low;  // room being made is for this rank and above
+    Micros held_until = 0;
   };
   struct Job {
     std::shared_ptr<const JobSpec> spec;
