--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -791,10 +791,14 @@
                     flush();
                   });
   } else if (const auto* move = std::get_if<fleet::Move>(&action)) {
-    if (held_.contains(move->from))
-      move_machine(move->machine, move->to);
+    if (auto h = held_.find(move->from); h != held_.end()) {
+      if (move->drain)
+        h->second.holder->drain(move->machine, move->to, move->rank, now());
+      else
+        move_machine(move->machine, move->to);
+    }
     else if (const HolderKey* key = own_.holder(move->from))
-      peers_->send(key->node, share::ReleaseAsk{move->machine, move->to});
+      peers_->send(key->node, share::ReleaseAsk{move->machine, move->to, move->drain, move->rank});
   }
 }
 
@@ -847,7 +851,13 @@
     said_[g->node] = *g;
     said_at_[g->node] = now();
   } else if (const auto* a = std::get_if<share::ReleaseAsk>(&frame)) {
-    move_machine(a->machine, a->to_share);
+    auto m = machines_.find(a->machine);
+    auto h = m == machines_.end() ? held_.end() : held_.find(m->second.share);
+    if (h == held_.end() || a->to_share >= own_.shares()) return;
+    if (a->drain)
+      h->second.holder->drain(a->machine, a->to_share, a->rank, now());
+    else
+      move_machine(a->machine, a->to_share);
   } else if (const auto* q = std::get_if<share::StatusAsk>(&frame)) {
     share::StatusTell t;
     t.request = q->request;
@@ -877,6 +887,8 @@
 void Controller::tick() {
   tick_soon_ = false;
   for (auto& [s, held] : held_) held.holder->tick(now(), may_start(held));
+  for (auto& [s, held] : held_)
+    for (const auto& [machine, to] : held.holder->drained()) move_machine(machine, to);
   push_orders();
   record_done();
 }
--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -106,7 +106,7 @@
   while (w.left > 0 && suits(w, r.type, r.zone, r.spot)) {
     wire::Resources room = r.free;
     const auto& total = types_[r.type].total;
-    if (w.demand.need.gpus == 0 && total.gpus > 0) {
+    if (w.demand.need.gpus == 0 && total.gpus > 0 && r.type < gpu_wanted_.size() && gpu_wanted_[r.type]) {
       const double share = static_cast<double>(r.free.gpus) / static_cast<double>(total.gpus) * 0.9;
       room.cpus -= static_cast<std::int64_t>(share * static_cast<double>(total.cpus));
       room.memory -= static_cast<std::int64_t>(share * static_cast<double>(total.memory));
@@ -140,6 +140,8 @@
   }
   if (!gone.machines.empty()) out.emplace_back(gone);
 
+  gpu_wanted_.resize(types_.size());
+  std::erase_if(draining_, [&](const auto& d) { return now >= d.second.second; });
   std::vector<Room> rooms;
   std::vector<Want> wants;
   for (const auto& s : shares) {
@@ -150,13 +152,23 @@
         out.emplace_back(Move{m.id, s.share, -1});
         continue;
       }
-      if (!m.usable) continue;
+      auto given = draining_.find(m.id);
+      if (given != draining_.end() && given->second.first == s.share) draining_.erase(given), given = draining_.end();
+      if (!m.usable && given == draining_.end()) continue;
       Room r;
       r.id = m.id, r.share = s.share, r.type = type_index(rec->second.type), r.zone = rec->second.zone;
       r.spot = rec->second.spot, r.empty = m.empty, r.free = m.free, r.idle_ms = m.idle_ms;
+      r.top_rank = m.top_rank;
+      if (given != draining_.end() && r.type < types_.size()) {  // on its way to another share
+        r.share = given->second.first, r.free = types_[r.type].total, r.touched = true;
+      }
       if (r.type < types_.size()) rooms.push_back(std::move(r));
     }
-    for (const auto& d : s.demands) wants.push_back({s.share, d, d.waiting, 0, {}});
+    for (const auto& d : s.demands) {
+      wants.push_back({s.share, d, d.waiting, 0, {}});
+      for (std::size_t t = 0; t < types_.size() && t < 64; ++t)
+        if (d.need.gpus > 0 && (d.types >> t & 1)) gpu_wanted_[t] = true;
+    }
   }
   for (auto& [id, b] : booting_) {
     b.claimed_by = -1;
@@ -198,6 +210,26 @@
         r.share = w.share;
       }
     }
+    // A share whose production waits may get a machine on which only lower ranks run.
+    if (w.left > 0 && w.demand.rank >= wire::Rank::production && now >= next_drain_) {
+      Room* least = nullptr;
+      for (auto& r : rooms) {
+        if (r.booting || r.share == w.share || r.top_rank >= w.demand.rank || r.type >= types_.size()) continue;
+        if (draining_.contains(r.id) || r.empty) continue;
+        if (w.demand.need.gpus == 0 && types_[r.type].total.gpus > 0) continue;
+        if (!suits(w, r.type, r.zone, r.spot) || !w.demand.need.fits_in(types_[r.type].total)) continue;
+        if (!least || r.free.cpus > least->free.cpus) least = &r;
+      }
+      if (least) {
+        next_drain_ = now + settings_.drain_every;
+        draining_[least->id] = {w.share, now + 15 * kSecond};
+        out.emplace_back(Move{least->id, least->share, w.share, true, w.demand.rank});
+        least->share = w.share;
+        least->free = types_[least->type].total;
+        fill(w, *least);
+        least->touched = true;
+      }
+    }
     if (w.left == 0 || renting_ + rents > 2 || rents >= kRentsPerTick) continue;
     std::uint32_t wanted = w.left;
     if (w.demand.shape == wire::Shape::array && w.demand.rank < wire::Rank::high) {
@@ -210,11 +242,12 @@
     }
     if (wanted == 0) continue;
     std::optional<Rent> best;
+    double cheapest = 1e18;
     double best_cost = 0;
     for (std::size_t t = 0; t < types_.size(); ++t) {
       const int fits = rooms_in(w.demand, types_[t]);
       if (fits == 0) continue;
-      if (w.demand.need.gpus == 0 && types_[t].total.gpus > 0) continue;
+      if (w.demand.need.gpus == 0 && types_[t].total.gpus > 0 && gpu_wanted_[t]) continue;
       for (const auto& zone : types_[t].zones)
         for (const bool spot : {true, false}) {
           if (!suits(w, t, zone, spot)) continue;
@@ -225,6 +258,10 @@
           auto sp = spot_price_.find(types_[t].name);
           const double price = spot ? (sp == spot_price_.end() ? types_[t].spot_price : sp->second) : types_[t].price;
           const double cost = price / usable;
+          // Dear machines for cheap work only when it cannot wait for others to become free.
+          cheapest = std::min(cheapest, types_[t].spot_price / usable);
+          const bool urgent = w.demand.rank >= wire::Rank::production || w.demand.slack_ms < to_seconds(types_[t].boot) * 1000;
+          if (!urgent && cost > cheapest * settings_.dear_factor * (spot ? 1 : 3)) continue;
           if (!best || cost < best_cost) best = Rent{t, zone, spot, 1}, best_cost = cost;
         }
     }
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -18,6 +18,8 @@
   Micros idle_after = 25 * kSecond;     // an empty machine goes back
   Micros lapsed_after = 8 * kSecond;    // a machine whose worker is gone goes back
   Micros refused_for = 12 * kSecond;    // after "no capacity"
+  Micros drain_every = 2 * kSecond;     // machines taken from lower-ranking work
+  double dear_factor = 3;               // a type this much above the cheapest only for urgent work
   double straggler_factor = 2.5;        // of the nominal boot time
   Micros straggler_extra = 15 * kSecond;
   Micros move_idle = kSecond;           // an empty machine may be moved after this
@@ -34,6 +36,8 @@
 struct Move {
   std::string machine;
   int from = 0, to = -1;
+  bool drain = false;
+  wire::Rank rank = wire::Rank::low;
 };
 struct Delete {
   std::vector<std::string> machines;
@@ -76,6 +80,7 @@
     bool spot = false, empty = false, touched = false, booting = false;
     wire::Resources free;
     std::uint32_t idle_ms = 0;
+    wire::Rank top_rank = wire::Rank::low;
   };
   struct Want {
     int share = 0;
@@ -96,6 +101,9 @@
   std::map<std::string, Micros> deleting_;
   std::map<std::string, double> spot_price_;
   std::map<std::string, Micros> failed_;
+  std::map<std::string, std::pair<int, Micros>> draining_;  // machine -> share that gets it, until
+  std::vector<bool> gpu_wanted_;
+  Micros next_drain_ = 0;
   int turn_ = 0, renting_ = 0;
 };
 
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -22,6 +22,7 @@
 constexpr Micros kRepeatHalt = kSecond;
 constexpr Micros kPushAgain = 2 * kSecond;
 constexpr Micros kHoldRoom = 3 * kSecond;     // for what it was made
+constexpr Micros kDrainFor = 20 * kSecond;
 constexpr Micros kDefaultWait = 60 * kSecond;
 }  // namespace
 
@@ -50,7 +51,8 @@
       epoch_(epoch),
       renewable_until_(renewable_until),
       lookup_(std::move(lookup)),
-      rnn_(settings.rnn) {}
+      rnn_(settings.rnn),
+      gpu_wanted_(types.size()) {}
 
 Micros Holder::surely_lapsed(Micros answered) const {
   return answered + static_cast<Micros>(static_cast<double>(platform_.worker_lease) * (1 + kDrift)) + kMargin;
@@ -96,6 +98,9 @@
   j->version = record.version;
   j->submitted = now - std::max<Micros>(0, time_of_day - record.submitted);
   j->fresh = fresh;
+  if (record.spec->need.gpus > 0)
+    for (std::size_t i = 0; i < types_.size(); ++i)
+      if (job::type_allowed(*record.spec, types_[i])) gpu_wanted_[i] = true;
   j->done = DoneSet(record.spec->tasks);
   j->recorded = j->done;
   j->chunk_versions.assign(j->done.chunks(), 0);
@@ -457,6 +462,7 @@
       m.accounted = true;
       check_rebuilt(now);
     }
+    if (m.drain_until > 0 && now >= m.drain_until) m.drain_until = 0, m.drain_to = -1;
     if (m.taken_at)  // save what can be saved before the machine goes
       for (auto& [key, p] : m.tasks)
         if (p.job && !p.halting && p.job->spec->checkpoint_every > 0 && p.phase != Phase::assigned) {
@@ -531,6 +537,7 @@
 
 bool Holder::machine_allowed(const Job& j, const Machine& m, Micros now) const {
   if (!m.type || !m.up || !m.accounted || m.leaving || m.taken_at || m.suspect_until > now) return false;
+  if (m.drain_until > now) return false;
   // Room that is being made bit by bit must not be filled again from below.
   if (m.held_until > now && j.spec->rank < m.held_for) return false;
   if (m.record.spot && !j.spec->spot) return false;
@@ -541,7 +548,7 @@
 
 bool Holder::fits(const Job& j, const Machine& m, const Resources& free) const {
   Resources room = free;
-  if (j.spec->need.gpus == 0 && m.type->total.gpus > 0) {
+  if (j.spec->need.gpus == 0 && m.type->total.gpus > 0 && gpu_wanted_[m.type_index]) {
     // Keep for each free GPU the CPUs and memory that its tasks take along.
     const double free_share = static_cast<double>(std::max<std::int64_t>(0, free.gpus)) / static_cast<double>(m.type->total.gpus);
     room.cpus -= static_cast<std::int64_t>(free_share * 0.9 * static_cast<double>(m.type->total.cpus));
@@ -752,6 +759,31 @@
   return true;
 }
 
+void Holder::drain(const std::string& machine, int to, Rank rank, Micros now) {
+  auto it = machines_.find(machine);
+  if (it == machines_.end() || !loaded_ || !it->second.up || it->second.drain_until > now) return;
+  Machine& m = it->second;
+  for (const auto& [key, p] : m.tasks)
+    if (!p.job || p.job->spec->rank >= rank) return;
+  spdlog::info("machine {}: {} tasks stopped to give it to share {}", machine, m.tasks.size(), to);
+  m.drain_to = to;
+  m.drain_until = now + kDrainFor;
+  for (auto& [key, p] : m.tasks) {
+    const Micros grace = p.job->spec->checkpoint_every > 0 ? p.job->spec->save_time : 0;
+    if (p.job->spec->shape == Shape::gang)
+      stop_gang(*p.job, grace);
+    else
+      halt(p, grace);
+  }
+}
+
+std::vector<std::pair<std::string, int>> Holder::drained() const {
+  std::vector<std::pair<std::string, int>> out;
+  for (const auto& [id, m] : machines_)
+    if (m.drain_until > 0 && m.drain_to >= 0 && m.tasks.empty() && !m.leaving) out.emplace_back(id, m.drain_to);
+  return out;
+}
+
 void Holder::keep(const std::string& machine) {
   if (auto it = machines_.find(machine); it != machines_.end()) it->second.leaving = false;
 }
@@ -830,11 +862,13 @@
     s.id = id;
     s.free = m.free;
     s.suspect = m.suspect_until > now;
-    s.usable = m.up && m.accounted && !m.leaving && !m.taken_at && !s.suspect;
+    s.usable = m.up && m.accounted && !m.leaving && !m.taken_at && !s.suspect && m.drain_until <= now;
     s.empty = m.tasks.empty() && m.accounted && !m.pushing && !m.leaving;
     s.lapsed = m.accounted && !m.up;
     s.idle_ms = static_cast<std::uint32_t>(std::clamp<Micros>((now - m.idle_since) / kMillisecond, 0, 3'600'000));
     if (!m.tasks.empty()) s.idle_ms = 0;
+    for (const auto& [key, p] : m.tasks)
+      s.top_rank = std::max(s.top_rank, p.job ? p.job->spec->rank : Rank::production);
     out.push_back(std::move(s));
   }
   return out;
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -60,6 +60,7 @@
   bool lapsed = false;   // its worker is gone
   bool suspect = false;
   std::uint32_t idle_ms = 0;
+  wire::Rank top_rank = wire::Rank::low;  // of its tasks
 };
 
 struct HolderSettings {
@@ -122,6 +123,9 @@
   /// An empty machine may leave the share; from then on nothing is placed on it.
   bool release(const std::string& machine, Micros now);
   void keep(const std::string& machine);
+  /// Stops what ranks below `rank` so that the machine may leave for a share whose tasks wait.
+  void drain(const std::string& machine, int to, wire::Rank rank, Micros now);
+  std::vector<std::pair<std::string, int>> drained() const;
 
   // ---- answers
   std::optional<std::pair<std::uint32_t, std::uint32_t>> tally(const std::string& job) const;
@@ -170,6 +174,8 @@
     std::set<std::string> error_jobs;
     wire::Rank held_for = wire::Rank::low;  // room being made is for this rank and above
     Micros held_until = 0;
+    int drain_to = -1;
+    Micros drain_until = 0;
   };
   struct Job {
     std::shared_ptr<const JobSpec> spec;
@@ -236,6 +242,7 @@
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, Resources> team_use_;
   place::Rnn rnn_;
+  std::vector<bool> gpu_wanted_;  // types that GPU jobs of ours can use
 };
 
 }  // namespace aspenwick::share
--- a/src/share/peer_frame.cpp
+++ b/src/share/peer_frame.cpp
@@ -90,6 +90,7 @@
       w.resources(m.free);
       w.num<std::uint8_t>(static_cast<std::uint8_t>(m.usable | m.empty << 1 | m.lapsed << 2 | m.suspect << 3));
       w.num<std::uint32_t>(m.idle_ms);
+      w.num<std::uint8_t>(static_cast<std::uint8_t>(m.top_rank));
     }
   }
 }
@@ -130,6 +131,9 @@
       const auto f = r.num<std::uint8_t>();
       m.usable = f & 1, m.empty = f & 2, m.lapsed = f & 4, m.suspect = f & 8;
       m.idle_ms = r.num<std::uint32_t>();
+      const auto top = r.num<std::uint8_t>();
+      if (top > 3) throw BadFrame("bad value");
+      m.top_rank = static_cast<wire::Rank>(top);
       s.machines.push_back(std::move(m));
     }
     g.shares.push_back(std::move(s));
@@ -149,6 +153,8 @@
     type = kRelease;
     body.text(a->machine);
     body.num<std::int16_t>(static_cast<std::int16_t>(a->to_share));
+    body.num<std::uint8_t>(a->drain);
+    body.num<std::uint8_t>(static_cast<std::uint8_t>(a->rank));
   } else if (const auto* s = std::get_if<StatusAsk>(&frame)) {
     type = kStatusAsk;
     body.num<std::uint32_t>(s->request);
@@ -194,6 +200,10 @@
       ReleaseAsk a;
       a.machine = r.text();
       a.to_share = r.num<std::int16_t>();
+      a.drain = r.num<std::uint8_t>() != 0;
+      const auto rank = r.num<std::uint8_t>();
+      if (rank > 3) throw BadFrame("bad value");
+      a.rank = static_cast<wire::Rank>(rank);
       out = a;
       break;
     }
--- a/src/share/peer_frame.h
+++ b/src/share/peer_frame.h
@@ -26,10 +26,12 @@
   std::uint64_t lease = 0;
   std::vector<ShareSaid> shares;
 };
-/// The leader asks a holder to give an empty machine away; share -1: to be deleted.
+/// The leader asks a holder to give a machine away, empty or to be drained; share -1: to be deleted.
 struct ReleaseAsk {
   std::string machine;
   int to_share = -1;
+  bool drain = false;  // stop first what ranks below
+  wire::Rank rank = wire::Rank::low;
 };
 struct StatusAsk {
   std::uint32_t request = 0;
