--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -582,7 +582,14 @@
   return j.cursor;
 }
 
-bool Holder::place_one(Job& j, std::uint32_t index, std::uint64_t attempt, Micros now) {
+/// Machines that cost much more for this kind of task are a tier of their own: q decides within the cheapest tier that
+/// has room. A long-running task on a GPU machine that it does not need would keep it rented.
+int Holder::dearness(const Job& j, const Machine& m) const {
+  if (j.spec->need.gpus == 0) return m.type->total.gpus > 0 ? 1 : 0;
+  return m.record.spot ? 0 : 1;
+}
+
+bool Holder::place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now) {
   if (!within_limit(j, 1)) return false;
   std::map<std::string, int> zones;
   if (j.spec->one_zone || j.spec->spread) zones = zones_of(j);
@@ -598,10 +605,12 @@
     fit.push_back(&m);
   }
   if (fit.empty()) return false;
-  // Equal q: machines without GPUs first, then the fullest.
+  int tier = 9;
+  for (const Machine* m : fit) tier = std::min(tier, dearness(j, *m));
+  if (cheap_only && tier > 0) return false;
+  std::erase_if(fit, [&](const Machine* m) { return dearness(j, *m) > tier; });
+  // Equal q: spot machines first, then the fullest.
   std::sort(fit.begin(), fit.end(), [&](const Machine* a, const Machine* b) {
-    if (j.spec->need.gpus == 0 && (a->type->total.gpus > 0) != (b->type->total.gpus > 0))
-      return b->type->total.gpus > 0;
     if (a->record.spot != b->record.spot) return a->record.spot;
     if (a->free.cpus != b->free.cpus) return a->free.cpus < b->free.cpus;
     return a->record.id < b->record.id;
@@ -636,7 +645,7 @@
   j.gang_attempt = attempt;
   for (std::uint32_t i = 0; i < j.spec->tasks; ++i) {
     if (j.done.test(i)) continue;
-    if (place_one(j, i, attempt, now)) continue;
+    if (place_one(j, i, attempt, false, now)) continue;
     // All or none.
     j.gang_attempt = 0;
     const auto active = j.active;
@@ -711,16 +720,25 @@
         make_room(*j, now);
       continue;
     }
-    bool placed = true;
-    while (placed) {
-      auto index = next_task(*j);
-      if (!index) break;
-      placed = place_one(*j, *index, (epoch_ << kBumpBits) + attempts_ + 1, now);
-      if (placed) ++attempts_;
+    // Higher ranks rather displace lower ones than take a dear machine.
+    const bool may_displace = j->spec->rank >= Rank::high;
+    for (const bool cheap_only : {true, false}) {
+      if (cheap_only && !may_displace) continue;
+      bool placed = true;
+      while (placed) {
+        auto index = next_task(*j);
+        if (!index) break;
+        placed = place_one(*j, *index, (epoch_ << kBumpBits) + attempts_ + 1, cheap_only, now);
+        if (placed) ++attempts_;
+      }
+      if (placed || !may_displace) break;
+      bool coming = false;
+      for (std::uint32_t i = 0; cheap_only && i < j->waiting() && i < 8; ++i) {
+        if (!make_room(*j, now)) break;
+        coming = true;
+      }
+      if (coming) break;
     }
-    if (placed || j->spec->rank < Rank::high) continue;
-    for (std::uint32_t i = 0; i < j->waiting() && i < 8; ++i)
-      if (!make_room(*j, now)) break;
   }
 }
 
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -217,7 +217,8 @@
   std::vector<Order> take_orders(Machine& m, bool by_push, std::uint64_t answer_seq, bool may_start,
                                  Micros now);
   void place_all(Micros now);
-  bool place_one(Job& j, std::uint32_t index, std::uint64_t attempt, Micros now);
+  bool place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now);
+  int dearness(const Job& j, const Machine& m) const;
   bool place_gang(Job& j, Micros now);
   bool place_allowed(const Job& j) const;
   bool machine_allowed(const Job& j, const Machine& m, Micros now) const;
