--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -297,7 +297,8 @@
   }
   renting_ += rents;
   for (const auto& r : rooms)
-    if (!r.booting && !r.touched && r.empty && r.idle_ms * kMillisecond >= settings_.idle_after)
+    if (!r.booting && !r.touched && r.empty && r.idle_ms * kMillisecond >=
+        (types_[r.type].total.gpus > 0 ? settings_.idle_gpu_after : settings_.idle_after))
       out.emplace_back(Move{r.id, r.share, -1});
   return out;
 }
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -15,7 +15,8 @@
 using share::ShareSaid;
 
 struct RenterSettings {
-  Micros idle_after = 25 * kSecond;   // an empty machine goes back
+  Micros idle_after = 60 * kSecond;      // an empty machine goes back
+  Micros idle_gpu_after = 20 * kSecond;  // one with GPUs, which costs many times as much
   Micros lapsed_after = 8 * kSecond;  // a machine whose worker is gone goes back
   Micros refused_for = 12 * kSecond;  // after "no capacity"
   Micros drain_every = 2 * kSecond;   // machines taken from lower-ranking work
