--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -449,6 +449,7 @@
 void Controller::feed_job(const std::string& id, const job::JobRecord& record) {
   for (auto& [share, held] : held_) {
     if (!held.holder) continue;
+    if (record.spec) held.holder->note_gpu_job(*record.spec);
     if (!record.final() && own_.share_of_team(record.spec->team) != share) continue;
     held.holder->job_known(id, record, record.version > held.key_version, now(), time_of_day());
   }
@@ -925,6 +926,17 @@
 }
 
 void Controller::metrics() {
+  for (const auto& [share, held] : held_) {
+    wire::Resources free;
+    std::size_t usable = 0;
+    for (const auto& m : held.holder->machine_states(now())) {
+      if (!m.usable) continue;
+      ++usable;
+      free += m.free;
+    }
+    spdlog::info("metrics: share {} machines {} free cpus {} gpus {} waiting tasks {}", share, usable,
+                 free.cpus / 1'000'000, free.gpus / 1'000'000, held.holder->waiting());
+  }
   spdlog::info("metrics: reports {} users {} jobs {} machines {} shares {}{}", count_reports_, count_users_,
                jobs_.size(), machines_.size(), held_.size(), leading() ? " leader" : "");
 }
--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -107,14 +107,13 @@
 std::uint32_t Renter::fill(Want& w, Room& r) const {
   std::uint32_t n = 0;
   while (w.left > 0 && suits(w, r.type, r.zone, r.spot)) {
-    wire::Resources room = r.free;
-    const auto& total = types_[r.type].total;
-    if (w.demand.need.gpus == 0 && total.gpus > 0 && r.type < gpu_wanted_.size() && gpu_wanted_[r.type]) {
-      const double share = static_cast<double>(r.free.gpus) / static_cast<double>(total.gpus) * 0.9;
-      room.cpus -= static_cast<std::int64_t>(share * static_cast<double>(total.cpus));
-      room.memory -= static_cast<std::int64_t>(share * static_cast<double>(total.memory));
-    }
-    if (!w.demand.need.fits_in(room)) break;
+    const bool gpu_type = r.type < gpu_wanted_.size() && gpu_wanted_[r.type];
+    // As the holder does: only work that can make way shares a machine with GPU work.
+    if (w.demand.need.gpus == 0 && gpu_type &&
+        (w.demand.rank > wire::Rank::low || w.demand.shape != wire::Shape::array || r.booting))
+      break;
+    if (!w.demand.need.fits_in(r.free)) break;
+    if (w.demand.need.gpus > 0) r.gpu_touched = true;
     r.free -= w.demand.need;
     r.touched = true;
     --w.left, ++w.fitted, ++n;
@@ -164,6 +163,11 @@
       r.id = m.id, r.share = s.share, r.type = type_index(rec->second.type), r.zone = rec->second.zone;
       r.spot = rec->second.spot, r.empty = m.empty, r.free = m.free, r.idle_ms = m.idle_ms;
       r.top_rank = m.top_rank;
+      if (r.type < types_.size() && gpu_wanted_[r.type] && r.top_rank == wire::Rank::low && !r.empty) {
+        // What runs there makes way for GPU work: its room is the GPUs' part of the machine.
+        const auto& total = types_[r.type].total;
+        if (r.free.gpus == total.gpus) r.free = total;
+      }
       if (given != draining_.end() && r.type < types_.size()) {  // on its way to another share
         r.share = given->second.first, r.free = types_[r.type].total, r.touched = true;
       }
@@ -296,10 +300,18 @@
     ++rents;
   }
   renting_ += rents;
-  for (const auto& r : rooms)
-    if (!r.booting && !r.touched && r.empty && r.idle_ms * kMillisecond >=
-        (types_[r.type].total.gpus > 0 ? settings_.idle_gpu_after : settings_.idle_after))
+  for (const auto& r : rooms) {
+    if (r.booting || draining_.contains(r.id)) continue;
+    const Micros idle = r.idle_ms * kMillisecond;
+    if (gpu_wanted_[r.type]) {
+      if (r.gpu_touched || idle < settings_.idle_gpu_after || r.top_rank > wire::Rank::low) continue;
+      if (!r.empty) draining_[r.id] = {-1, now + 15 * kSecond};
+      out.emplace_back(Move{r.id, r.share, -1, !r.empty, wire::Rank::normal});
+    } else if (!r.touched && r.empty &&
+               idle >= (types_[r.type].total.gpus > 0 ? settings_.idle_gpu_after : settings_.idle_after)) {
       out.emplace_back(Move{r.id, r.share, -1});
+    }
+  }
   return out;
 }
 
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -100,15 +100,19 @@
   j->version = record.version;
   j->submitted = now - std::max<Micros>(0, time_of_day - record.submitted);
   j->fresh = fresh;
-  if (record.spec->need.gpus > 0)
-    for (std::size_t i = 0; i < types_.size(); ++i)
-      if (job::type_allowed(*record.spec, types_[i])) gpu_wanted_[i] = true;
+  note_gpu_job(*record.spec);
   j->done = DoneSet(record.spec->tasks);
   j->recorded = j->done;
   j->chunk_versions.assign(j->done.chunks(), 0);
   jobs_.emplace(id, std::move(j));
 }
 
+void Holder::note_gpu_job(const JobSpec& spec) {
+  if (spec.need.gpus == 0) return;
+  for (std::size_t i = 0; i < types_.size(); ++i)
+    if (job::type_allowed(spec, types_[i])) gpu_wanted_[i] = true;
+}
+
 void Holder::load_done(const std::string& job, std::uint32_t chunk, const std::string& text,
                        std::uint64_t version) {
   auto it = jobs_.find(job);
@@ -137,6 +141,7 @@
   m.handed_empty = handed_empty;
   m.lapse_at = surely_lapsed(handed_empty ? now : std::max(now, renewable_until_));
   m.idle_since = now;
+  m.gpu_idle_since = now;
   rnn_.join(record.id);
 }
 
@@ -344,6 +349,7 @@
   m.tasks.erase(it);
   m.free += p.need;
   if (m.tasks.empty()) m.idle_since = now;
+  if (p.need.gpus > 0) m.gpu_idle_since = now;
   if (!p.team.empty()) team_use_[p.team] -= p.need;
   Job* j = p.job;
   if (!j) return;
@@ -479,7 +485,7 @@
       m.accounted = true;
       check_rebuilt(now);
     }
-    if (m.drain_until > 0 && now >= m.drain_until) m.drain_until = 0, m.drain_to = -1;
+    if (m.drain_until > 0 && now >= m.drain_until) m.drain_until = 0, m.drain_to = -2;
     if (m.taken_at)  // save what can be saved before the machine goes
       for (auto& [key, p] : m.tasks)
         if (p.job && !p.halting && p.job->spec->checkpoint_every > 0 && p.phase != Phase::assigned) {
@@ -564,15 +570,12 @@
 }
 
 bool Holder::fits(const Job& j, const Machine& m, const Resources& free) const {
-  Resources room = free;
-  if (j.spec->need.gpus == 0 && m.type->total.gpus > 0 && gpu_wanted_[m.type_index]) {
-    // Keep for each free GPU the CPUs and memory that its tasks take along.
-    const double free_share =
-        static_cast<double>(std::max<std::int64_t>(0, free.gpus)) / static_cast<double>(m.type->total.gpus);
-    room.cpus -= static_cast<std::int64_t>(free_share * 0.9 * static_cast<double>(m.type->total.cpus));
-    room.memory -= static_cast<std::int64_t>(free_share * 0.9 * static_cast<double>(m.type->total.memory));
-  }
-  return j.spec->need.fits_in(room);
+  // Machines for GPU work take other work only if it can make way at once: what stays, or outranks GPU work,
+  // would keep a dear machine rented for a few CPUs.
+  if (j.spec->need.gpus == 0 && gpu_wanted_[m.type_index] &&
+      (j.spec->rank > Rank::low || j.spec->shape != Shape::array))
+    return false;
+  return j.spec->need.fits_in(free);
 }
 
 std::optional<std::uint32_t> Holder::next_task(Job& j) {
@@ -582,8 +585,8 @@
   return j.cursor;
 }
 
-/// Machines that cost much more for this kind of task are a tier of their own: q decides within the cheapest tier that
-/// has room. A long-running task on a GPU machine that it does not need would keep it rented.
+/// Machines that cost much more for this kind of task are a tier of their own: q decides within the cheapest
+/// tier that has room. A long-running task on a GPU machine that it does not need would keep it rented.
 int Holder::dearness(const Job& j, const Machine& m) const {
   if (j.spec->need.gpus == 0) return m.type->total.gpus > 0 ? 1 : 0;
   return m.record.spot ? 0 : 1;
@@ -822,7 +825,7 @@
 std::vector<std::pair<std::string, int>> Holder::drained() const {
   std::vector<std::pair<std::string, int>> out;
   for (const auto& [id, m] : machines_)
-    if (m.drain_until > 0 && m.drain_to >= 0 && m.tasks.empty() && !m.leaving)
+    if (m.drain_until > 0 && m.drain_to >= -1 && m.tasks.empty() && !m.leaving)
       out.emplace_back(id, m.drain_to);
   return out;
 }
@@ -911,6 +914,13 @@
     s.idle_ms =
         static_cast<std::uint32_t>(std::clamp<Micros>((now - m.idle_since) / kMillisecond, 0, 3'600'000));
     if (!m.tasks.empty()) s.idle_ms = 0;
+    if (m.type && gpu_wanted_[m.type_index]) {  // idle while no GPU task is there
+      const bool busy =
+          std::any_of(m.tasks.begin(), m.tasks.end(), [](const auto& t) { return t.second.need.gpus > 0; });
+      s.idle_ms = busy ? 0
+                       : static_cast<std::uint32_t>(
+                             std::clamp<Micros>((now - m.gpu_idle_since) / kMillisecond, 0, 3'600'000));
+    }
     for (const auto& [key, p] : m.tasks)
       s.top_rank = std::max(s.top_rank, p.job ? p.job->spec->rank : Rank::production);
     out.push_back(std::move(s));
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -82,6 +82,8 @@
 
   // ---- events
   void job_known(const std::string& id, const JobRecord& record, bool fresh, Micros now, Micros time_of_day);
+  /// Any share's job: which machine types its GPU tasks can use.
+  void note_gpu_job(const JobSpec& spec);
   void load_done(const std::string& job, std::uint32_t chunk, const std::string& text, std::uint64_t version);
   void loaded(Micros now);  // all jobs, done-sets and machines of the share were told
   /// `handed_empty`: recorded after our takeover, so it was handed over empty.
@@ -175,7 +177,8 @@
     std::set<std::string> error_jobs;
     wire::Rank held_for = wire::Rank::low;  // room being made is for this rank and above
     Micros held_until = 0;
-    int drain_to = -1;
+    int drain_to = -2;  // -2: not drained
+    Micros gpu_idle_since = 0;
     Micros drain_until = 0;
   };
   struct Job {
@@ -245,7 +248,7 @@
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, Resources> team_use_;
   place::Rnn rnn_;
-  std::vector<bool> gpu_wanted_;  // types that GPU jobs of ours can use
+  std::vector<bool> gpu_wanted_;  // types that GPU jobs can use
 };
 
 }  // namespace aspenwick::share
