--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -222,6 +222,17 @@
         r.share = w.share;
       }
     }
+    // GPU work may get a machine of another share on which only what makes way runs.
+    for (auto& r : rooms) {
+      if (w.left == 0 || w.demand.need.gpus == 0) break;
+      if (r.booting || r.empty || r.gpu_touched || r.share == w.share || r.top_rank > wire::Rank::low) continue;
+      if (r.free.gpus != types_[r.type].total.gpus || draining_.contains(r.id)) continue;
+      const int from = r.share;
+      if (fill(w, r) == 0) continue;
+      draining_[r.id] = {w.share, now + 15 * kSecond};
+      out.emplace_back(Move{r.id, from, w.share, true, w.demand.rank});
+      r.share = w.share;
+    }
     // A share whose production waits may get a machine on which only lower ranks run.
     if (w.left > 0 && w.demand.rank >= wire::Rank::production && now >= next_drain_) {
       Room* least = nullptr;
