--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -234,7 +234,7 @@
       r.share = w.share;
     }
     // A share whose production waits may get a machine on which only lower ranks run.
-    if (w.left > 0 && w.demand.rank >= wire::Rank::production && now >= next_drain_) {
+    if (w.left > 0 && w.demand.rank >= wire::Rank::high && now >= next_drain_) {
       Room* least = nullptr;
       for (auto& r : rooms) {
         if (r.booting || r.share == w.share || r.top_rank >= w.demand.rank || r.type >= types_.size())
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -19,7 +19,7 @@
   Micros idle_gpu_after = 20 * kSecond;  // one with GPUs, which costs many times as much
   Micros lapsed_after = 8 * kSecond;     // a machine whose worker is gone goes back
   Micros refused_for = 12 * kSecond;     // after "no capacity"
-  Micros drain_every = 2 * kSecond;      // machines taken from lower-ranking work
+  Micros drain_every = 1 * kSecond;      // machines taken from lower-ranking work
   double dear_factor = 3;                // a type this much above the cheapest only for urgent work
   double straggler_factor = 2.5;         // of the nominal boot time
   Micros straggler_extra = 15 * kSecond;
