--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -509,7 +509,7 @@
 std::vector<Holder::Job*> Holder::ordered_jobs(Micros now) {
   struct Entry {
     Job* job;
-    bool guaranteed;
+    bool guaranteed, late;
     Micros slack;
   };
   std::vector<Entry> list;
@@ -520,11 +520,16 @@
     const bool guaranteed = t && (t->guaranteed.cpus > 0 || t->guaranteed.gpus > 0) &&
                             (t->guaranteed.cpus == 0 || after.cpus <= t->guaranteed.cpus) &&
                             (t->guaranteed.gpus == 0 || after.gpus <= t->guaranteed.gpus);
-    list.push_back({j.get(), guaranteed, slack(*j, now)});
+    const Micros left = slack(*j, now);
+    // Once a deadline can no longer be kept, the job makes way for those that still can: by deadline alone, all jobs
+    // of an overloaded hour would be late together. Of the late ones, the shortest first.
+    const bool late = j->spec->deadline && left < 0;
+    list.push_back({j.get(), guaranteed, late, late ? static_cast<Micros>(j->waiting()) : left});
   }
   std::sort(list.begin(), list.end(), [](const Entry& a, const Entry& b) {
     if (a.job->spec->rank != b.job->spec->rank) return a.job->spec->rank > b.job->spec->rank;
     if (a.guaranteed != b.guaranteed) return a.guaranteed;
+    if (a.late != b.late) return b.late;
     if (a.slack != b.slack) return a.slack < b.slack;
     return a.job->id < b.job->id;
   });
