--- a/src/app/operator_settings.cpp
+++ b/src/app/operator_settings.cpp
@@ -52,6 +52,7 @@
   };
   seconds("renting.idle_after_s", s.renting.idle_after, 0, 3600);
   seconds("renting.idle_gpu_after_s", s.renting.idle_gpu_after, 0, 3600);
+  seconds("renting.idle_spot_gpu_after_s", s.renting.idle_spot_gpu_after, 0, 3600);
   seconds("renting.lapsed_after_s", s.renting.lapsed_after, 0, 3600);
   seconds("renting.refused_for_s", s.renting.refused_for, 1, 600);
   real("renting.straggler_factor", s.renting.straggler_factor, 1, 20);
--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -225,7 +225,8 @@
     // GPU work may get a machine of another share on which only what makes way runs.
     for (auto& r : rooms) {
       if (w.left == 0 || w.demand.need.gpus == 0) break;
-      if (r.booting || r.empty || r.gpu_touched || r.share == w.share || r.top_rank > wire::Rank::low) continue;
+      if (r.booting || r.empty || r.gpu_touched || r.share == w.share || r.top_rank > wire::Rank::low)
+        continue;
       if (r.free.gpus != types_[r.type].total.gpus || draining_.contains(r.id)) continue;
       const int from = r.share;
       if (fill(w, r) == 0) continue;
@@ -315,7 +316,9 @@
     if (r.booting || draining_.contains(r.id)) continue;
     const Micros idle = r.idle_ms * kMillisecond;
     if (gpu_wanted_[r.type]) {
-      if (r.gpu_touched || idle < settings_.idle_gpu_after || r.top_rank > wire::Rank::low) continue;
+      if (r.gpu_touched || idle < (r.spot ? settings_.idle_spot_gpu_after : settings_.idle_gpu_after) ||
+          r.top_rank > wire::Rank::low)
+        continue;
       if (!r.empty) draining_[r.id] = {-1, now + 15 * kSecond};
       out.emplace_back(Move{r.id, r.share, -1, !r.empty, wire::Rank::normal});
     } else if (!r.touched && r.empty &&
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -521,8 +521,8 @@
                             (t->guaranteed.cpus == 0 || after.cpus <= t->guaranteed.cpus) &&
                             (t->guaranteed.gpus == 0 || after.gpus <= t->guaranteed.gpus);
     const Micros left = slack(*j, now);
-    // Once a deadline can no longer be kept, the job makes way for those that still can: by deadline alone, all jobs
-    // of an overloaded hour would be late together. Of the late ones, the shortest first.
+    // Once a deadline can no longer be kept, the job makes way for those that still can: by deadline alone,
+    // all jobs of an overloaded hour would be late together. Of the late ones, the shortest first.
     const bool late = j->spec->deadline && left < 0;
     list.push_back({j.get(), guaranteed, late, late ? static_cast<Micros>(j->waiting()) : left});
   }
