--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -199,6 +199,9 @@
   for (auto& w : wants)
     for (auto& r : rooms)
       if (r.share == w.share && w.left > 0) fill(w, r);
+  std::set<int> wanting;
+  for (const auto& w : wants)
+    if (w.left > 0) wanting.insert(w.share);
   int rents = 0;
   for (auto& w : wants) {
     if (w.left > 0) {  // room in machines that this share has claimed, or nobody yet
@@ -312,6 +315,19 @@
     ++rents;
   }
   renting_ += rents;
+  // A dear machine whose share has room enough elsewhere takes no more tasks, and goes back when it is empty.
+  for (const auto& r : rooms) {
+    if (now < next_gentle_ || r.booting || r.empty || wanting.contains(r.share) || draining_.contains(r.id)) continue;
+    const auto& total = types_[r.type].total;
+    if (total.gpus == 0 || gpu_wanted_[r.type] || r.spot || r.top_rank >= wire::Rank::production) continue;
+    std::int64_t elsewhere = 0;
+    for (const auto& o : rooms)
+      if (o.share == r.share && o.id != r.id && !o.booting && !draining_.contains(o.id)) elsewhere += o.free.cpus;
+    if (elsewhere < 2 * (total.cpus - r.free.cpus)) continue;
+    next_gentle_ = now + settings_.drain_every;
+    draining_[r.id] = {-1, now + 40 * kSecond};
+    out.emplace_back(Move{r.id, r.share, -1, true, wire::Rank::low});
+  }
   for (const auto& r : rooms) {
     if (r.booting || draining_.contains(r.id)) continue;
     const Micros idle = r.idle_ms * kMillisecond;
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -106,7 +106,7 @@
   std::map<std::string, Micros> failed_;
   std::map<std::string, std::pair<int, Micros>> draining_;  // machine -> share that gets it, until
   std::vector<bool> gpu_wanted_;
-  Micros next_drain_ = 0;
+  Micros next_drain_ = 0, next_gentle_ = 0;
   int turn_ = 0, renting_ = 0;
 };
 
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -813,6 +813,11 @@
   auto it = machines_.find(machine);
   if (it == machines_.end() || !loaded_ || !it->second.up || it->second.drain_until > now) return;
   Machine& m = it->second;
+  if (rank == Rank::low) {  // nothing ranks below: what runs may finish, nothing more is placed
+    m.drain_to = to;
+    m.drain_until = now + 2 * kDrainFor;
+    return;
+  }
   for (const auto& [key, p] : m.tasks)
     if (!p.job || p.job->spec->rank >= rank) return;
   spdlog::info("machine {}: {} tasks stopped to give it to share {}", machine, m.tasks.size(), to);
