--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -289,8 +289,10 @@
           const double cost = price / usable;
           // Dear machines for cheap work only when it cannot wait for others to become free.
           cheapest = std::min(cheapest, types_[t].spot_price / usable);
-          const bool urgent = w.demand.rank >= wire::Rank::production ||
-                              w.demand.slack_ms < to_seconds(types_[t].boot) * 1000;
+          // Production may: once it has waited longer than it should, since drained machines come sooner than new ones.
+          const bool urgent = w.demand.rank >= wire::Rank::production
+                                  ? w.demand.slack_ms == 0
+                                  : w.demand.slack_ms < to_seconds(types_[t].boot) * 1000;
           if (!urgent && cost > cheapest * settings_.dear_factor * (spot ? 1 : 3)) continue;
           if (!best || cost < best_cost) best = Rent{t, zone, spot, 1}, best_cost = cost;
         }
