--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -289,7 +289,8 @@
           const double cost = price / usable;
           // Dear machines for cheap work only when it cannot wait for others to become free.
           cheapest = std::min(cheapest, types_[t].spot_price / usable);
-          // Production may: once it has waited longer than it should, since drained machines come sooner than new ones.
+          // Production may: once it has waited longer than it should, since drained machines come sooner than
+          // new ones.
           const bool urgent = w.demand.rank >= wire::Rank::production
                                   ? w.demand.slack_ms == 0
                                   : w.demand.slack_ms < to_seconds(types_[t].boot) * 1000;
@@ -319,12 +320,14 @@
   renting_ += rents;
   // A dear machine whose share has room enough elsewhere takes no more tasks, and goes back when it is empty.
   for (const auto& r : rooms) {
-    if (now < next_gentle_ || r.booting || r.empty || wanting.contains(r.share) || draining_.contains(r.id)) continue;
+    if (now < next_gentle_ || r.booting || r.empty || wanting.contains(r.share) || draining_.contains(r.id))
+      continue;
     const auto& total = types_[r.type].total;
     if (total.gpus == 0 || gpu_wanted_[r.type] || r.spot || r.top_rank >= wire::Rank::production) continue;
     std::int64_t elsewhere = 0;
     for (const auto& o : rooms)
-      if (o.share == r.share && o.id != r.id && !o.booting && !draining_.contains(o.id)) elsewhere += o.free.cpus;
+      if (o.share == r.share && o.id != r.id && !o.booting && !draining_.contains(o.id))
+        elsewhere += o.free.cpus;
     if (elsewhere < 2 * (total.cpus - r.free.cpus)) continue;
     next_gentle_ = now + settings_.drain_every;
     draining_[r.id] = {-1, now + 40 * kSecond};
