--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -515,11 +515,7 @@
   std::vector<Entry> list;
   for (auto& [id, j] : jobs_) {
     if (j->withdrawn || j->finished || j->waiting() == 0) continue;
-    const wire::Team* t = team(j->spec->team);
-    const Resources after = team_use_[j->spec->team] + j->spec->need;
-    const bool guaranteed = t && (t->guaranteed.cpus > 0 || t->guaranteed.gpus > 0) &&
-                            (t->guaranteed.cpus == 0 || after.cpus <= t->guaranteed.cpus) &&
-                            (t->guaranteed.gpus == 0 || after.gpus <= t->guaranteed.gpus);
+    const bool guaranteed = within_guarantee(*j);
     const Micros left = slack(*j, now);
     // Once a deadline can no longer be kept, the job makes way for those that still can: by deadline alone,
     // all jobs of an overloaded hour would be late together. Of the late ones, the shortest first.
@@ -557,6 +553,27 @@
          (t->limit.gpus == 0 || j.spec->need.gpus == 0 || after.gpus <= t->limit.gpus);
 }
 
+bool Holder::within_guarantee(const Job& j) const {
+  const wire::Team* t = team(j.spec->team);
+  if (!t) return false;
+  auto it = team_use_.find(j.spec->team);
+  const Resources after = (it == team_use_.end() ? Resources{} : it->second) + j.spec->need;
+  // Something must be guaranteed of what the job mainly takes; 0 means no guarantee.
+  if ((j.spec->need.gpus > 0 ? t->guaranteed.gpus : t->guaranteed.cpus) == 0) return false;
+  return (t->guaranteed.cpus == 0 || after.cpus <= t->guaranteed.cpus) &&
+         (t->guaranteed.gpus == 0 || after.gpus <= t->guaranteed.gpus);
+}
+
+/// Another team's work that it runs beyond its own guarantee, of the kind that is wanted.
+bool Holder::borrowed(const Job& j, const Placed& p) const {
+  if (p.team.empty() || p.team == j.spec->team) return false;
+  const wire::Team* t = team(p.team);
+  auto it = team_use_.find(p.team);
+  if (!t || it == team_use_.end()) return false;
+  return j.spec->need.gpus > 0 ? p.need.gpus > 0 && it->second.gpus > t->guaranteed.gpus
+                               : it->second.cpus > t->guaranteed.cpus;
+}
+
 std::map<std::string, int> Holder::zones_of(const Job& j) const {
   std::map<std::string, int> zones;
   for (const auto& [index, machine] : j.active) ++zones[machines_.at(machine).record.zone];
@@ -669,6 +686,13 @@
 
 bool Holder::make_room(Job& j, Micros now) {
   std::int64_t missing = j.waiting();
+  const bool guaranteed = within_guarantee(j);
+  if (guaranteed && j.spec->rank < Rank::high) {  // others' work is stopped for the guaranteed part only
+    const auto& g = team(j.spec->team)->guaranteed;
+    const auto& use = team_use_[j.spec->team];
+    missing = std::min(missing, j.spec->need.gpus > 0 ? (g.gpus - use.gpus) / j.spec->need.gpus
+                                                      : (g.cpus - use.cpus) / j.spec->need.cpus);
+  }
   if (!within_limit(j, 1)) return false;
   const int zone_limit = static_cast<int>((j.spec->tasks + 1) / 2);
   const auto zones = zones_of(j);
@@ -690,7 +714,8 @@
     }
     std::vector<Placed*> low;
     for (auto& [key, p] : m.tasks)
-      if (p.job && !p.halting && p.job->spec->rank < j.spec->rank) low.push_back(&p);
+      if (p.job && !p.halting && (p.job->spec->rank < j.spec->rank || (guaranteed && borrowed(j, p))))
+        low.push_back(&p);
     std::sort(low.begin(), low.end(), [](const Placed* a, const Placed* b) {
       return std::pair{a->job->spec->rank, -a->started} < std::pair{b->job->spec->rank, -b->started};
     });
@@ -729,7 +754,7 @@
       continue;
     }
     // Higher ranks rather displace lower ones than take a dear machine.
-    const bool may_displace = j->spec->rank >= Rank::high;
+    const bool may_displace = j->spec->rank >= Rank::high || within_guarantee(*j);
     for (const bool cheap_only : {true, false}) {
       if (cheap_only && !may_displace) continue;
       bool placed = true;
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -227,6 +227,8 @@
   bool machine_allowed(const Job& j, const Machine& m, Micros now) const;
   bool fits(const Job& j, const Machine& m, const Resources& free) const;
   bool within_limit(const Job& j, std::uint32_t tasks) const;
+  bool within_guarantee(const Job& j) const;
+  bool borrowed(const Job& j, const Placed& p) const;
   bool make_room(Job& j, Micros now);
   std::optional<std::uint32_t> next_task(Job& j);
   std::vector<Job*> ordered_jobs(Micros now);
