--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -15,14 +15,14 @@
 using share::ShareSaid;
 
 struct RenterSettings {
-  Micros idle_after = 60 * kSecond;            // an empty machine goes back
-  Micros idle_gpu_after = 20 * kSecond;        // one with GPUs, which costs many times as much
-  Micros idle_spot_gpu_after = 100 * kSecond;  // a cheap one keeps its images warm
-  Micros lapsed_after = 8 * kSecond;           // a machine whose worker is gone goes back
-  Micros refused_for = 12 * kSecond;           // after "no capacity"
-  Micros drain_every = 1 * kSecond;            // machines taken from lower-ranking work
-  double dear_factor = 3;                      // a type this much above the cheapest only for urgent work
-  double straggler_factor = 2.5;               // of the nominal boot time
+  Micros idle_after = 40 * kSecond;           // an empty machine goes back
+  Micros idle_gpu_after = 20 * kSecond;       // one with GPUs, which costs many times as much
+  Micros idle_spot_gpu_after = 45 * kSecond;  // a cheap one keeps its images warm
+  Micros lapsed_after = 8 * kSecond;          // a machine whose worker is gone goes back
+  Micros refused_for = 12 * kSecond;          // after "no capacity"
+  Micros drain_every = 1 * kSecond;           // machines taken from lower-ranking work
+  double dear_factor = 3;                     // a type this much above the cheapest only for urgent work
+  double straggler_factor = 2.5;              // of the nominal boot time
   Micros straggler_extra = 15 * kSecond;
   Micros move_idle = kSecond;      // an empty machine may be moved after this
   Micros patience = 40 * kSecond;  // low-priority work should drain in about this time
