--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -21,7 +21,7 @@
 const std::string kMachine = "s/machine/";
 const std::string kHolder = "s/holder/";
 const std::string kLeader = "s/leader";
-const std::string kToken = "s/token";
+const std::string kToken = "s/token/";  // + share, or "leader": a counter each, or all would race for one
 const std::string kTypes = "s/types";
 const std::string kProgress = "p/";
 
@@ -29,6 +29,7 @@
 constexpr Micros kSoon = 15 * kMillisecond;
 constexpr Micros kPushDeadline = 3 * kSecond;
 constexpr Micros kCloudDeadline = 5 * kSecond;
+constexpr double kProgressPart = 0.3;  // of the changes that the state service takes
 constexpr Micros kPeerAnswer = 300 * kMillisecond;
 
 std::string progress_key(int share, const std::string& job, std::uint32_t chunk) {
@@ -310,16 +311,10 @@
   m.zone = r.zone;
   m.spot = r.spot;
   m.share = renter_ ? renter_->share_for(r.machine, r.type, own_.shares()) : 0;
-  std::vector<wire::Guard> guards{{kMachine + m.id, 0}, {kLeader, own_.leader()->version}};
-  std::vector<wire::Write> writes;
-  if (r.token > 0) {
-    // It has obeyed someone: only a newer epoch can give it orders.
-    m.epoch = token_ + 1;
-    guards.push_back({kToken, token_version_});
-    writes.push_back({kToken, {{"n", m.epoch}}, {}, false});
-  }
-  writes.push_back({kMachine + m.id, machine_to_json(m), {}, false});
-  store_.commit(std::move(guards), std::move(writes), store::Urgency::user,
+  // If it has obeyed someone, only a newer epoch can give it orders.
+  if (r.token > 0) m.epoch = std::max(highest_epoch(), share::epoch_of_token(r.token)) + 1;
+  store_.commit({{kMachine + m.id, 0}, {kLeader, own_.leader()->version}},
+                {{kMachine + m.id, machine_to_json(m), {}, false}}, store::Urgency::user,
                 [this, x, r, m](int code, std::uint64_t revision) mutable {
                   adopting_.erase(r.machine);
                   if (code != 200) return x->answer(503, wire::error_body("state service"));
@@ -435,9 +430,8 @@
         own_.leader_removed(now());
       else
         own_.leader_set(share::holder_from_json(row.value, row.version));
-    } else if (key == kToken && !row.removed) {
-      token_ = row.value.at("n").get<std::uint64_t>();
-      token_version_ = row.version;
+    } else if (key.starts_with(kToken) && !row.removed) {
+      tokens_[key] = {row.value.at("n").get<std::uint64_t>(), row.version};
     } else if (key == kTypes && !row.removed) {
       if (types_.empty()) types_ = wire::types_from_json(row.value);
     }
@@ -569,29 +563,42 @@
   if (auto s = own_.to_hand_back(now())) hand_back(*s);
 }
 
+/// The highest epoch that anything known to us goes by. What a machine's former holders used was in its
+/// record before its share's key was removed, and only who has seen the key removed takes the share: so a
+/// successor's epoch, drawn above this, is above every token that its machines have seen.
+std::uint64_t Controller::highest_epoch() const {
+  std::uint64_t highest = 0;
+  for (const auto& [key, counter] : tokens_) highest = std::max(highest, counter.first);
+  for (const auto& [id, m] : machines_) highest = std::max(highest, m.epoch);
+  return highest;
+}
+
+void Controller::take_key(const std::string& key, const std::string& counter, std::function<void(int)> done) {
+  auto it = tokens_.find(counter);
+  const std::uint64_t seen = it == tokens_.end() ? 0 : it->second.second;
+  const HolderKey mine{platform_.name, *own_.lease(), highest_epoch() + 1, 0};
+  // With the leases, ahead of all else: while a share has no holder, its workers' leases run out.
+  store_.commit(
+      {{key, 0}, {counter, seen}},
+      {{counter, {{"n", mine.epoch}}, {}, false}, {key, share::holder_to_json(mine), mine.lease, false}},
+      store::Urgency::now, [done = std::move(done)](int code, std::uint64_t) { done(code); });
+}
+
 void Controller::take_share(int s) {
   if (!taking_.insert(s).second) return;
-  const HolderKey key{platform_.name, *own_.lease(), token_ + 1, 0};
-  store_.commit({{kHolder + std::to_string(s), 0}, {kToken, token_version_}},
-                {{kToken, {{"n", key.epoch}}, {}, false},
-                 {kHolder + std::to_string(s), share::holder_to_json(key), key.lease, false}},
-                store::Urgency::user, [this, s](int code, std::uint64_t) {
-                  if (code == 200) spdlog::info("share {}: taken", s);
-                  // The watch tells; a refusal mostly means that the token moved on.
-                  later(code == 200 ? kSecond : 150 * kMillisecond, [this, s] { taking_.erase(s); });
-                });
+  take_key(kHolder + std::to_string(s), kToken + std::to_string(s), [this, s](int code) {
+    if (code == 200) spdlog::info("share {}: taken", s);
+    // The watch tells.
+    later(code == 200 ? kSecond : 150 * kMillisecond, [this, s] { taking_.erase(s); });
+  });
 }
 
 void Controller::take_leader() {
   if (taking_leader_) return;
   taking_leader_ = true;
-  const HolderKey key{platform_.name, *own_.lease(), token_ + 1, 0};
-  store_.commit(
-      {{kLeader, 0}, {kToken, token_version_}},
-      {{kToken, {{"n", key.epoch}}, {}, false}, {kLeader, share::holder_to_json(key), key.lease, false}},
-      store::Urgency::user, [this](int code, std::uint64_t) {
-        later(code == 200 ? kSecond : 200 * kMillisecond, [this] { taking_leader_ = false; });
-      });
+  take_key(kLeader, kToken + "leader", [this](int code) {
+    later(code == 200 ? kSecond : 200 * kMillisecond, [this] { taking_leader_ = false; });
+  });
 }
 
 void Controller::hand_back(int s) {
@@ -611,12 +618,20 @@
 
 void Controller::record_done() {
   finish_jobs();
+  // Done-sets are written at a pace that leaves most changes to users and machines; until then the workers
+  // keep the results. A finished job's own record says it all.
   const Micros t = now();
-  if (t - last_done_ < kSecond || !store_.writes_spare()) return;
+  const double pace = platform_.state_write_rps * kProgressPart / static_cast<double>(own_.shares());
+  progress_level_ =
+      std::min(std::max(2.0, 2 * pace * static_cast<double>(held_.size())),
+               progress_level_ + to_seconds(t - last_done_) * pace * static_cast<double>(held_.size()));
   last_done_ = t;
+  if (progress_level_ < 1 || !store_.writes_spare()) return;
   for (auto& [s, held] : held_) {
     if (!may_start(held)) continue;
-    const auto writes = held.holder->done_writes(std::min<std::size_t>(store_.txn_ops(), 4));
+    const auto most = static_cast<std::size_t>(std::max(0.0, progress_level_));
+    const auto writes = held.holder->done_writes(std::min({store_.txn_ops(), std::size_t{4}, most}));
+    progress_level_ -= static_cast<double>(writes.size());
     if (writes.empty()) continue;
     std::vector<wire::Guard> guards{{kHolder + std::to_string(s), held.key_version}};
     std::vector<wire::Write> puts;
@@ -843,12 +858,8 @@
   std::vector<wire::Guard> guards{{kMachine + machine, m.version},
                                   {kHolder + std::to_string(from), held->second.key_version}};
   std::vector<wire::Write> writes;
-  if (to >= 0) {
-    // The new share's epoch may be lower than ours, which the worker has seen.
-    m.epoch = token_ + 1;
-    guards.push_back({kToken, token_version_});
-    writes.push_back({kToken, {{"n", m.epoch}}, {}, false});
-  }
+  // The new share's epoch may be lower than ours, which the worker has seen.
+  if (to >= 0) m.epoch = std::max(held->second.epoch, m.epoch) + 1;
   writes.push_back({kMachine + machine, machine_to_json(m), {}, false});
   spdlog::info("machine {} leaves share {} for {}", machine, from, to);
   store_.commit(std::move(guards), std::move(writes),
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -66,6 +66,8 @@
   void own_lease();
   void renew();
   void ownership();
+  std::uint64_t highest_epoch() const;
+  void take_key(const std::string& key, const std::string& counter, std::function<void(int)> done);
   void take_share(int share);
   void take_leader();
   void hand_back(int share);
@@ -104,7 +106,7 @@
   std::unordered_map<std::string, job::JobRecord> jobs_;
   std::map<std::string, share::MachineRecord> machines_;
   std::vector<wire::MachineType> types_;
-  std::uint64_t token_ = 0, token_version_ = 0;
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> tokens_;  // key -> epoch, version
   std::map<int, HeldShare> held_;
   std::map<int, std::pair<std::string, std::uint64_t>> former_;  // share -> last holder's node and lease
   std::set<int> taking_;
@@ -116,7 +118,7 @@
   std::unique_ptr<fleet::Renter> renter_;
   std::uint64_t renter_epoch_ = 0, hires_ = 0;
   Micros next_list_ = 0, next_prices_ = 0, last_done_ = 0, renewed_ = 0;
-  double cloud_tokens_ = 1;
+  double cloud_tokens_ = 1, progress_level_ = 0;
   Micros cloud_last_ = 0;
   std::uint32_t asked_ = 0;
   std::map<std::uint32_t, StatusWait> asks_;
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -26,6 +26,8 @@
 constexpr Micros kDefaultWait = 60 * kSecond;
 }  // namespace
 
+std::uint64_t epoch_of_token(std::uint64_t token) { return token >> kBumpBits; }
+
 wire::Json machine_to_json(const MachineRecord& m) {
   return {{"share", m.share}, {"epoch", m.epoch}, {"addr", m.address},
           {"type", m.type},   {"zone", m.zone},   {"spot", m.spot}};
@@ -779,14 +781,22 @@
 
 std::vector<Holder::DoneWrite> Holder::done_writes(std::size_t most) {
   std::vector<DoneWrite> out;
-  for (auto& [id, j] : jobs_) {
-    if (j->withdrawn || j->finished || j->committing || j->done.all()) continue;
+  if (most == 0) return out;
+  // Most unrecorded results first: in the order of names some jobs would never have their turn.
+  std::vector<Job*> dirty;
+  for (auto& [id, j] : jobs_)
+    if (!j->withdrawn && !j->finished && !j->committing && !j->done.all() && !j->dirty.empty())
+      dirty.push_back(j.get());
+  std::sort(dirty.begin(), dirty.end(), [](const Job* a, const Job* b) {
+    return a->done.count() - a->recorded.count() > b->done.count() - b->recorded.count();
+  });
+  for (Job* j : dirty) {
     for (auto it = j->dirty.begin(); it != j->dirty.end() && out.size() < most;) {
       if (j->in_flight.contains(*it)) {
         ++it;
         continue;
       }
-      out.push_back({id, *it, j->done.chunk_text(*it), j->chunk_versions[*it]});
+      out.push_back({j->id, *it, j->done.chunk_text(*it), j->chunk_versions[*it]});
       j->in_flight.insert(*it);
       it = j->dirty.erase(it);
     }
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -33,6 +33,8 @@
   std::uint64_t epoch = 0;  // least epoch that may give it orders
   std::uint64_t version = 0;
 };
+/// The epoch that a worker's token belongs to.
+std::uint64_t epoch_of_token(std::uint64_t token);
 wire::Json machine_to_json(const MachineRecord& m);
 MachineRecord machine_from_json(const std::string& id, const wire::Json& j, std::uint64_t version);
 
--- a/src/share/ownership.cpp
+++ b/src/share/ownership.cpp
@@ -28,6 +28,7 @@
 }
 
 void Ownership::lease_granted(std::uint64_t id, Micros sent) {
+  if (started_ == 0) started_ = sent;
   lease_ = id;
   valid_until_ = sent + kHolderLease - kDriftMargin;
 }
@@ -101,7 +102,8 @@
     const Micros free_for = it == free_since_.end() ? now : now - it->second;
     // The home takes its share at once; the others wait a little, in turn.
     const int turn = (home_ - s + shares()) % shares();
-    const bool home_alive = peer_alive(node_of(s), now);
+    // Right after our own start a home that we have not heard of is mostly starting too.
+    const bool home_alive = peer_alive(node_of(s), now) || now - started_ < kHomeFirst;
     const Micros wait = turn == 0 ? 0 : home_alive ? kHomeFirst * (turn + 1) : (turn - 1) * kSecond / 2;
     if (free_for >= wait) out.push_back(s);
   }
--- a/src/share/ownership.h
+++ b/src/share/ownership.h
@@ -80,7 +80,7 @@
   std::vector<std::string> nodes_;
   int home_ = 0;
   std::optional<std::uint64_t> lease_;
-  Micros valid_until_ = 0;
+  Micros valid_until_ = 0, started_ = 0;
   std::map<int, HolderKey> holders_;
   std::map<int, Micros> free_since_;
   std::optional<HolderKey> leader_;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -50,6 +50,7 @@
   request.queued = clock_();
   if (urgency == Urgency::now) {
     requests_.level -= 1;
+    writes_.level -= request.writes;  // what follows waits for it
     send(std::move(request));
     return;
   }
