Plan gangs whole and by zone, rent in bulk, rent dear machines only for what cannot wait

Excluded: capacity (40 to 80 of 204 GPUs in use), processor, cloud calls. Change: gangs are planned whole per zone, and moved for only where all fits; holders place and make room for gangs by zone; up to 50 machines a call, asked ones count as coming; like services are told as one; dear machines only as far as slack demands. Frames up to 128 KiB, since one node may hold all.

--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -8,7 +8,11 @@
 namespace aspenwick::fleet {
 namespace {
 constexpr Micros kDeleteAgain = 4 * kSecond;
-constexpr int kRentsPerTick = 2;
+constexpr int kRentsPerTick = 3;
+constexpr int kMostAtOnce = 50;  // the cloud's bound on one request
+constexpr std::size_t kAskedAtOnce = 6;
+constexpr int kDrainsPerTick = 4;
+constexpr Micros kDrainTime = 15 * kSecond;
 std::string offer(const std::string& type, const std::string& zone, bool spot) {
   return type + " " + zone + (spot ? " spot" : "");
 }
@@ -53,13 +57,13 @@
 }
 
 void Renter::rented(const Rent& rent, int status, const std::vector<std::string>& ids, Micros now) {
-  --renting_;
+  if (auto it = std::find(asked_.begin(), asked_.end(), rent); it != asked_.end()) asked_.erase(it);
   const auto key = offer(types_[rent.type].name, rent.zone, rent.spot);
   if (status != 200 || static_cast<int>(ids.size()) < rent.count)
     refused_until_[key] = now + settings_.refused_for;
   for (const auto& id : ids) {
     Booting b;
-    b.type = rent.type, b.zone = rent.zone, b.spot = rent.spot, b.rented = now;
+    b.type = rent.type, b.zone = rent.zone, b.spot = rent.spot, b.rented = now, b.claimed_by = rent.share;
     booting_.emplace(id, std::move(b));
   }
   spdlog::info("rent {} x{}: {} ({} machines)", key, rent.count, status, ids.size());
@@ -79,15 +83,17 @@
 int Renter::share_for(const std::string& machine, const std::string&, int shares) {
   auto it = booting_.find(machine);
   if (it != booting_.end() && it->second.claimed_by >= 0) return it->second.claimed_by;
-  return turn_++ % shares;
+  // A share without a team has no use for it.
+  const int served = std::clamp(static_cast<int>(platform_.teams.size()), 1, std::max(1, shares));
+  return turn_++ % served;
 }
 
-int Renter::rooms_in(const share::Demand& d, const wire::MachineType& type) const {
+std::uint32_t Renter::rooms_in(const share::Demand& d, const wire::Resources& room) const {
   std::int64_t n = 1'000'000;
-  if (d.need.cpus > 0) n = std::min(n, type.total.cpus / d.need.cpus);
-  if (d.need.gpus > 0) n = std::min(n, type.total.gpus / d.need.gpus);
-  if (d.need.memory > 0) n = std::min(n, type.total.memory / d.need.memory);
-  return static_cast<int>(std::max<std::int64_t>(0, n));
+  if (d.need.cpus > 0) n = std::min(n, room.cpus / d.need.cpus);
+  if (d.need.gpus > 0) n = std::min(n, room.gpus / d.need.gpus);
+  if (d.need.memory > 0) n = std::min(n, room.memory / d.need.memory);
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, n));
 }
 
 bool Renter::suits(const Want& w, std::size_t type, const std::string& zone, bool spot) const {
@@ -104,15 +110,16 @@
   return true;
 }
 
+bool Renter::usable(const Want& w, const Room& r) const {
+  if (!suits(w, r.type, r.zone, r.spot)) return false;
+  // As the holder does: only work that can make way shares a machine with GPU work.
+  return w.demand.need.gpus > 0 || r.type >= gpu_wanted_.size() || !gpu_wanted_[r.type] ||
+         (w.demand.rank == wire::Rank::low && w.demand.shape == wire::Shape::array && !r.booting);
+}
+
 std::uint32_t Renter::fill(Want& w, Room& r) const {
   std::uint32_t n = 0;
-  while (w.left > 0 && suits(w, r.type, r.zone, r.spot)) {
-    const bool gpu_type = r.type < gpu_wanted_.size() && gpu_wanted_[r.type];
-    // As the holder does: only work that can make way shares a machine with GPU work.
-    if (w.demand.need.gpus == 0 && gpu_type &&
-        (w.demand.rank > wire::Rank::low || w.demand.shape != wire::Shape::array || r.booting))
-      break;
-    if (!w.demand.need.fits_in(r.free)) break;
+  while (w.left > 0 && usable(w, r) && w.demand.need.fits_in(r.free)) {
     if (w.demand.need.gpus > 0) r.gpu_touched = true;
     r.free -= w.demand.need;
     r.touched = true;
@@ -122,15 +129,14 @@
   return n;
 }
 
-std::vector<Action> Renter::tick(Micros now, const std::vector<ShareSaid>& shares,
-                                 const std::map<std::string, MachineRecord>& records) {
-  std::vector<Action> out;
-  // Machines that nobody may use any more.
+// ---------------------------------------------------------------- the picture
+
+void Renter::condemn_lost(Plan& plan, const std::map<std::string, MachineRecord>& records) {
   Delete gone;
   auto condemn = [&](const std::string& id) {
-    auto [it, added] = deleting_.try_emplace(id, now);
-    if (!added && now - it->second < kDeleteAgain) return;
-    it->second = now;
+    auto [it, added] = deleting_.try_emplace(id, plan.now);
+    if (!added && plan.now - it->second < kDeleteAgain) return;
+    it->second = plan.now;
     if (gone.machines.size() < 50) gone.machines.push_back(id);
   };
   for (const auto& [id, m] : records)
@@ -139,20 +145,27 @@
     const Micros boot = b.type < types_.size() ? types_[b.type].boot : 0;
     const auto limit = static_cast<Micros>(settings_.straggler_factor * static_cast<double>(boot)) +
                        settings_.straggler_extra;
-    if (now - b.rented > limit || failed_.contains(id)) condemn(id);
+    if (plan.now - b.rented > limit || failed_.contains(id)) condemn(id);
   }
-  if (!gone.machines.empty()) out.emplace_back(gone);
+  if (!gone.machines.empty()) plan.actions.emplace_back(gone);
+}
 
+void Renter::gather(Plan& plan, const std::vector<ShareSaid>& shares,
+                    const std::map<std::string, MachineRecord>& records) {
   gpu_wanted_.resize(types_.size());
-  std::erase_if(draining_, [&](const auto& d) { return now >= d.second.second; });
-  std::vector<Room> rooms;
-  std::vector<Want> wants;
-  for (const auto& s : shares) {
+  for (const auto& s : shares)
+    for (const auto& d : s.demands) {
+      plan.wants.push_back({s.share, d, d.waiting, 0, {}});
+      for (std::size_t t = 0; t < types_.size() && t < 64; ++t)
+        if (d.need.gpus > 0 && (d.types >> t & 1)) gpu_wanted_[t] = true;
+    }
+  std::erase_if(draining_, [&](const auto& d) { return plan.now >= d.second.second; });
+  for (const auto& s : shares)
     for (const auto& m : s.machines) {
       auto rec = records.find(m.id);
       if (rec == records.end() || rec->second.share != s.share) continue;
       if (m.empty && ((m.lapsed && m.idle_ms * kMillisecond >= settings_.lapsed_after) || m.suspect)) {
-        out.emplace_back(Move{m.id, s.share, -1});
+        plan.actions.emplace_back(Move{m.id, s.share, -1});
         continue;
       }
       auto given = draining_.find(m.id);
@@ -163,191 +176,308 @@
       r.id = m.id, r.share = s.share, r.type = type_index(rec->second.type), r.zone = rec->second.zone;
       r.spot = rec->second.spot, r.empty = m.empty, r.free = m.free, r.idle_ms = m.idle_ms;
       r.top_rank = m.top_rank;
-      if (r.type < types_.size() && gpu_wanted_[r.type] && r.top_rank == wire::Rank::low && !r.empty) {
-        // What runs there makes way for GPU work: its room is the GPUs' part of the machine.
-        const auto& total = types_[r.type].total;
-        if (r.free.gpus == total.gpus) r.free = total;
-      }
-      if (given != draining_.end() && r.type < types_.size()) {  // on its way to another share
-        r.share = given->second.first, r.free = types_[r.type].total, r.touched = true;
-      }
-      if (r.type < types_.size()) rooms.push_back(std::move(r));
+      if (r.type >= types_.size()) continue;
+      const auto& total = types_[r.type].total;
+      // What runs there makes way for GPU work: its room is the GPUs' part of the machine.
+      if (gpu_wanted_[r.type] && r.top_rank == wire::Rank::low && !r.empty && r.free.gpus == total.gpus)
+        r.free = total;
+      if (given != draining_.end())  // on its way to another share
+        r.share = given->second.first, r.free = total, r.touched = true;
+      plan.rooms.push_back(std::move(r));
     }
-    for (const auto& d : s.demands) {
-      wants.push_back({s.share, d, d.waiting, 0, {}});
-      for (std::size_t t = 0; t < types_.size() && t < 64; ++t)
-        if (d.need.gpus > 0 && (d.types >> t & 1)) gpu_wanted_[t] = true;
-    }
-  }
   for (auto& [id, b] : booting_) {
-    b.claimed_by = -1;
     if (deleting_.contains(id) || b.type >= types_.size()) continue;
     Room r;
     r.id = id, r.type = b.type, r.zone = b.zone, r.spot = b.spot, r.booting = true;
     r.free = types_[b.type].total;
-    rooms.push_back(std::move(r));
+    plan.rooms.push_back(std::move(r));
   }
-  std::stable_sort(wants.begin(), wants.end(), [](const Want& a, const Want& b) {
+  for (const auto& a : asked_)
+    for (int i = 0; i < a.count; ++i) {
+      Room r;
+      r.type = a.type, r.zone = a.zone, r.spot = a.spot, r.booting = true;
+      r.free = types_[a.type].total;
+      plan.rooms.push_back(std::move(r));
+    }
+  std::stable_sort(plan.wants.begin(), plan.wants.end(), [](const Want& a, const Want& b) {
     return a.demand.rank != b.demand.rank ? a.demand.rank > b.demand.rank
                                           : a.demand.slack_ms < b.demand.slack_ms;
   });
-  std::stable_sort(rooms.begin(), rooms.end(), [](const Room& a, const Room& b) {
+  std::stable_sort(plan.rooms.begin(), plan.rooms.end(), [](const Room& a, const Room& b) {
     return a.spot != b.spot ? a.spot : a.free.cpus < b.free.cpus;
   });
+}
 
-  // First every share's own room, then machines that come or can be moved, then renting.
-  for (auto& w : wants)
-    for (auto& r : rooms)
-      if (r.share == w.share && w.left > 0) fill(w, r);
-  std::set<int> wanting;
-  for (const auto& w : wants)
-    if (w.left > 0) wanting.insert(w.share);
-  int rents = 0;
-  for (auto& w : wants) {
-    if (w.left > 0) {  // room in machines that this share has claimed, or nobody yet
-      for (auto& r : rooms) {
-        if (w.left == 0) break;
-        if (!r.booting || (r.share != -1 && r.share != w.share)) continue;
-        if (fill(w, r) > 0) {
-          r.share = w.share;
-          if (auto b = booting_.find(r.id); b != booting_.end()) b->second.claimed_by = w.share;
-        }
-      }
-    }
-    for (auto& r : rooms) {
-      if (w.left == 0) break;
-      if (r.booting || r.touched || !r.empty || r.share == w.share ||
-          r.idle_ms * kMillisecond < settings_.move_idle)
-        continue;
-      const int from = r.share;
-      if (fill(w, r) > 0) {
-        out.emplace_back(Move{r.id, from, w.share});
-        r.share = w.share;
-      }
-    }
-    // GPU work may get a machine of another share on which only what makes way runs.
-    for (auto& r : rooms) {
-      if (w.left == 0 || w.demand.need.gpus == 0) break;
-      if (r.booting || r.empty || r.gpu_touched || r.share == w.share || r.top_rank > wire::Rank::low)
-        continue;
-      if (r.free.gpus != types_[r.type].total.gpus || draining_.contains(r.id)) continue;
-      const int from = r.share;
+// ---------------------------------------------------------------- moving
+
+bool Renter::movable(const Room& r, const Want& w) const {
+  return !r.booting && !r.touched && r.empty && r.share != w.share &&
+         r.idle_ms * kMillisecond >= settings_.move_idle;
+}
+
+/// On it runs only what makes way for GPU work.
+bool Renter::drainable_for_gpu(const Room& r, const Want& w) const {
+  return w.demand.need.gpus > 0 && !r.booting && !r.empty && !r.gpu_touched && r.share != w.share &&
+         r.top_rank == wire::Rank::low && r.free.gpus == types_[r.type].total.gpus &&
+         !draining_.contains(r.id);
+}
+
+void Renter::take_booting(Plan& plan, Want& w) {
+  // A share's earlier claims first: a claim that wandered would send machines where they are not needed.
+  for (const bool own : {true, false})
+    for (auto& r : plan.rooms) {
+      if (w.left == 0) return;
+      if (!r.booting || (r.share != -1 && r.share != w.share)) continue;
+      auto b = booting_.find(r.id);
+      if (own && (b == booting_.end() || b->second.claimed_by != w.share)) continue;
       if (fill(w, r) == 0) continue;
-      draining_[r.id] = {w.share, now + 15 * kSecond};
-      out.emplace_back(Move{r.id, from, w.share, true, w.demand.rank});
       r.share = w.share;
+      if (b != booting_.end()) b->second.claimed_by = w.share;
     }
-    // A share whose production waits may get a machine on which only lower ranks run.
-    if (w.left > 0 && w.demand.rank >= wire::Rank::high && now >= next_drain_) {
-      Room* least = nullptr;
-      for (auto& r : rooms) {
-        if (r.booting || r.share == w.share || r.top_rank >= w.demand.rank || r.type >= types_.size())
-          continue;
-        if (draining_.contains(r.id) || r.empty) continue;
-        if (w.demand.need.gpus == 0 && types_[r.type].total.gpus > 0) continue;
-        if (!suits(w, r.type, r.zone, r.spot) || !w.demand.need.fits_in(types_[r.type].total)) continue;
-        if (!least || r.free.cpus > least->free.cpus) least = &r;
-      }
-      if (least) {
-        next_drain_ = now + settings_.drain_every;
-        draining_[least->id] = {w.share, now + 15 * kSecond};
-        out.emplace_back(Move{least->id, least->share, w.share, true, w.demand.rank});
-        least->share = w.share;
-        least->free = types_[least->type].total;
-        fill(w, *least);
-        least->touched = true;
-      }
-    }
-    if (w.left == 0 || renting_ + rents > 2 || rents >= kRentsPerTick) continue;
-    std::uint32_t wanted = w.left;
-    if (w.demand.shape == wire::Shape::array && w.demand.rank < wire::Rank::high) {
-      // Work that can wait runs in several rounds on fewer machines.
-      const double guess = w.demand.guess_ms > 0 ? w.demand.guess_ms / 1e3 : 30.0;
-      const double drain = std::clamp(w.demand.slack_ms / 1e3 * 0.5, 15.0, to_seconds(settings_.patience));
-      const double slots = std::ceil((w.demand.waiting + w.demand.running) * guess / drain);
-      const double have = w.demand.running + w.fitted;
-      wanted = static_cast<std::uint32_t>(std::clamp(slots - have, 0.0, static_cast<double>(w.left)));
-    }
-    if (wanted == 0) continue;
-    std::optional<Rent> best;
-    double cheapest = 1e18;
-    double best_cost = 0;
-    for (std::size_t t = 0; t < types_.size(); ++t) {
-      const int fits = rooms_in(w.demand, types_[t]);
-      if (fits == 0) continue;
-      if (w.demand.need.gpus == 0 && types_[t].total.gpus > 0 && gpu_wanted_[t]) continue;
-      for (const auto& zone : types_[t].zones)
-        for (const bool spot : {true, false}) {
-          if (!suits(w, t, zone, spot)) continue;
-          auto refused = refused_until_.find(offer(types_[t].name, zone, spot));
-          if (refused != refused_until_.end() && now < refused->second) continue;
-          std::uint32_t usable = std::min<std::uint32_t>(wanted, static_cast<std::uint32_t>(fits));
-          if (w.demand.per_zone > 0) usable = std::min(usable, w.demand.per_zone);
-          auto sp = spot_price_.find(types_[t].name);
-          const double price =
-              spot ? (sp == spot_price_.end() ? types_[t].spot_price : sp->second) : types_[t].price;
-          const double cost = price / usable;
-          // Dear machines for cheap work only when it cannot wait for others to become free.
-          cheapest = std::min(cheapest, types_[t].spot_price / usable);
-          // Production may: once it has waited longer than it should, since drained machines come sooner than
-          // new ones.
-          const bool urgent = w.demand.rank >= wire::Rank::production
-                                  ? w.demand.slack_ms == 0
-                                  : w.demand.slack_ms < to_seconds(types_[t].boot) * 1000;
-          if (!urgent && cost > cheapest * settings_.dear_factor * (spot ? 1 : 3)) continue;
-          if (!best || cost < best_cost) best = Rent{t, zone, spot, 1}, best_cost = cost;
-        }
+}
+
+void Renter::take_empty(Plan& plan, Want& w) {
+  for (auto& r : plan.rooms) {
+    if (w.left == 0) return;
+    const int from = r.share;
+    const bool drain = drainable_for_gpu(r, w);
+    if ((!drain && !movable(r, w)) || fill(w, r) == 0) continue;
+    if (drain) draining_[r.id] = {w.share, plan.now + kDrainTime};
+    plan.actions.emplace_back(Move{r.id, from, w.share, drain, w.demand.rank});
+    r.share = w.share;
+  }
+}
+
+/// A share whose high ranks wait gets machines on which only lower ranks run.
+void Renter::take_from_lower(Plan& plan, Want& w) {
+  if (w.demand.rank < wire::Rank::high || plan.now < next_drain_) return;
+  for (int n = 0; n < kDrainsPerTick && w.left > 0; ++n) {
+    Room* least = nullptr;
+    for (auto& r : plan.rooms) {
+      if (r.booting || r.share == w.share || r.top_rank >= w.demand.rank || r.empty) continue;
+      if (draining_.contains(r.id) || (w.demand.need.gpus == 0 && types_[r.type].total.gpus > 0)) continue;
+      if (!suits(w, r.type, r.zone, r.spot) || !w.demand.need.fits_in(types_[r.type].total)) continue;
+      if (!least || r.free.cpus > least->free.cpus) least = &r;
     }
-    if (!best) {
-      // CPU work may use GPU machines when nothing else can be had, if it matters.
-      continue;
+    if (!least) return;
+    next_drain_ = plan.now + settings_.drain_every;
+    draining_[least->id] = {w.share, plan.now + kDrainTime};
+    plan.actions.emplace_back(Move{least->id, least->share, w.share, true, w.demand.rank});
+    least->share = w.share;
+    least->free = types_[least->type].total;
+    fill(w, *least);
+    least->touched = true;
+  }
+}
+
+// ---------------------------------------------------------------- renting
+
+/// Offers that may be asked now, the cheapest per task first.
+std::vector<Renter::Offer> Renter::offers(const Want& w, Micros now, const std::string& only_zone) const {
+  std::vector<Offer> all;
+  for (std::size_t t = 0; t < types_.size(); ++t) {
+    const auto fits = rooms_in(w.demand, types_[t].total);
+    if (fits == 0 || (w.demand.need.gpus == 0 && types_[t].total.gpus > 0 && gpu_wanted_[t])) continue;
+    auto sp = spot_price_.find(types_[t].name);
+    const double spot_price = sp == spot_price_.end() ? types_[t].spot_price : sp->second;
+    for (const auto& zone : types_[t].zones)
+      for (const bool spot : {true, false}) {
+        if (!suits(w, t, zone, spot) || (!only_zone.empty() && zone != only_zone)) continue;
+        std::uint32_t use = std::min(w.left, fits);
+        if (w.demand.per_zone > 0) use = std::min(use, w.demand.per_zone);
+        all.push_back({t, zone, spot, (spot ? spot_price : types_[t].price) / std::max(1U, use), fits});
+      }
+  }
+  std::stable_sort(all.begin(), all.end(), [](const Offer& a, const Offer& b) { return a.cost < b.cost; });
+  std::erase_if(all, [&](const Offer& o) {
+    auto refused = refused_until_.find(offer(types_[o.type].name, o.zone, o.spot));
+    return refused != refused_until_.end() && now < refused->second;
+  });
+  return all;
+}
+
+/// How many more tasks should find room. Work that can wait runs in several rounds on fewer machines, and on
+/// dear ones only as far as the others would not do it in time.
+std::uint32_t Renter::wanted(const Want& w, bool dear) const {
+  if (w.demand.shape != wire::Shape::array || w.demand.rank >= wire::Rank::high) return w.left;
+  const double guess = w.demand.guess_ms > 0 ? w.demand.guess_ms / 1e3 : 30.0;
+  const double slack = w.demand.slack_ms / 1e3;
+  const double drain = dear ? std::max(15.0, slack * settings_.slack_part)
+                            : std::clamp(slack * 0.5, 15.0, to_seconds(settings_.patience));
+  const double slots = std::ceil((w.demand.waiting + w.demand.running) * guess / drain);
+  const double have = w.demand.running + w.fitted;
+  return static_cast<std::uint32_t>(std::clamp(slots - have, 0.0, static_cast<double>(w.left)));
+}
+
+void Renter::rent(Plan& plan, const Offer& o, int count, Want& w) {
+  const Rent rent{o.type, o.zone, o.spot, count, w.share};
+  asked_.push_back(rent);
+  ++plan.rents;
+  plan.actions.emplace_back(rent);
+  for (int i = 0; i < count; ++i) {
+    Room r;
+    r.type = o.type, r.zone = o.zone, r.spot = o.spot, r.booting = true, r.share = w.share;
+    r.free = types_[o.type].total;
+    fill(w, r);
+    plan.rooms.push_back(std::move(r));
+  }
+}
+
+void Renter::rent_for(Plan& plan, Want& w) {
+  // The cheapest known price is the measure, whether or not it can be had just now.
+  double cheapest = 1e18;
+  for (std::size_t t = 0; t < types_.size(); ++t)
+    if (const auto fits = rooms_in(w.demand, types_[t].total);
+        fits > 0 && (t >= 64 || w.demand.types >> t & 1))
+      cheapest = std::min(cheapest, (w.demand.spot ? types_[t].spot_price : types_[t].price) /
+                                        std::min(std::max(1U, w.left), fits));
+  for (const auto& o : offers(w, plan.now, "")) {
+    if (w.left == 0 || plan.rents >= kRentsPerTick || asked_.size() >= kAskedAtOnce) return;
+    if (!suits(w, o.type, o.zone, o.spot)) continue;  // its zone may be full by now
+    const bool dear = o.cost > cheapest * settings_.dear_factor;
+    // Production may have dear machines once it has waited longer than it should: drained machines come
+    // sooner than new ones.
+    const bool urgent = w.demand.rank >= wire::Rank::production
+                            ? w.demand.slack_ms == 0
+                            : w.demand.slack_ms < to_seconds(types_[o.type].boot) * 1000;
+    const bool can_wait = w.demand.shape == wire::Shape::array && w.demand.rank < wire::Rank::high;
+    if (dear && !urgent && !can_wait) continue;
+    std::uint32_t tasks = wanted(w, dear);
+    if (w.demand.per_zone > 0) {
+      auto z = w.zones.find(o.zone);
+      tasks = std::min(tasks, w.demand.per_zone - (z == w.zones.end() ? 0 : z->second));
     }
-    const int fits = rooms_in(w.demand, types_[best->type]);
-    best->count = std::clamp(
-        static_cast<int>((wanted + static_cast<std::uint32_t>(fits) - 1) / static_cast<std::uint32_t>(fits)),
-        1, 4);
-    if (w.demand.per_zone > 0) best->count = 1;
-    for (int i = 0; i < best->count; ++i) {
-      Room r;
-      r.type = best->type, r.zone = best->zone, r.spot = best->spot, r.booting = true, r.share = w.share;
-      r.free = types_[best->type].total;
-      fill(w, r);
-      rooms.push_back(std::move(r));
+    if (tasks == 0) continue;
+    rent(plan, o, std::min(kMostAtOnce, static_cast<int>((tasks + o.fits - 1) / o.fits)), w);
+  }
+}
+
+// ---------------------------------------------------------------- gangs
+
+/// A gang runs whole or not at all, and mostly in one zone: machines are moved or rented for it only where
+/// all of it will fit, or shares would pass machines back and forth that help neither.
+void Renter::serve_gang(Plan& plan, Want& w) {
+  struct Choice {
+    std::string zone;
+    std::uint32_t own = 0, coming = 0, move = 0;
+  };
+  std::vector<Choice> choices;
+  if (!w.demand.one_zone) choices.push_back({});
+  for (std::size_t z = 0; w.demand.one_zone && z < platform_.zones.size(); ++z)
+    choices.push_back({platform_.zones[z]});
+  for (auto& c : choices)
+    for (const auto& r : plan.rooms) {
+      if ((!c.zone.empty() && r.zone != c.zone) || !usable(w, r)) continue;
+      const auto n = rooms_in(w.demand, r.free);
+      if (r.booting)
+        c.coming += r.share == -1 || r.share == w.share ? n : 0;
+      else if (r.share == w.share)
+        c.own += n;
+      else if (movable(r, w) || drainable_for_gpu(r, w))
+        c.move += n;
     }
-    out.emplace_back(*best);
-    ++rents;
+  const std::uint32_t need = w.left;
+  auto missing = [need](std::uint32_t have) { return have >= need ? 0 : need - have; };
+  const Choice* best = nullptr;
+  std::vector<Offer> best_offers;
+  std::tuple<std::uint32_t, std::uint32_t, std::uint32_t> best_rank{};
+  for (const auto& c : choices) {
+    const auto to_rent = missing(c.own + c.move + c.coming);
+    auto can = offers(w, plan.now, c.zone);
+    if (to_rent > 0 && can.empty()) continue;
+    const std::tuple rank{to_rent, missing(c.own + c.move), missing(c.own)};
+    if (best && rank >= best_rank) continue;
+    best = &c, best_rank = rank, best_offers = std::move(can);
+  }
+  if (!best) return;
+  const std::string zone = best->zone;
+  const auto to_rent = std::get<0>(best_rank);
+  const bool move_now = std::get<1>(best_rank) == 0;
+  for (auto& r : plan.rooms)
+    if ((zone.empty() || r.zone == zone) && r.share == w.share && !r.booting) fill(w, r);
+  for (auto& r : plan.rooms) {
+    if (w.left == 0) return;
+    if (!zone.empty() && r.zone != zone) continue;
+    const int from = r.share;
+    const bool drain = drainable_for_gpu(r, w);
+    if ((!drain && !movable(r, w)) || fill(w, r) == 0) continue;
+    if (!move_now) continue;  // kept for it, and moved when the rest has come
+    if (drain) draining_[r.id] = {w.share, plan.now + kDrainTime};
+    plan.actions.emplace_back(Move{r.id, from, w.share, drain, w.demand.rank});
+    r.share = w.share;
+  }
+  for (auto& r : plan.rooms) {
+    if (!r.booting || (!zone.empty() && r.zone != zone) || (r.share != -1 && r.share != w.share)) continue;
+    if (fill(w, r) == 0) continue;
+    r.share = w.share;
+    if (auto b = booting_.find(r.id); b != booting_.end()) b->second.claimed_by = w.share;
   }
-  renting_ += rents;
+  if (to_rent == 0 || best_offers.empty() || plan.rents >= kRentsPerTick || asked_.size() >= kAskedAtOnce)
+    return;
+  const Offer& o = best_offers.front();
+  rent(plan, o, std::min(kMostAtOnce, static_cast<int>((w.left + o.fits - 1) / o.fits)), w);
+}
+
+void Renter::serve(Plan& plan, Want& w) {
+  if (w.left == 0) return;
+  if (w.demand.shape == wire::Shape::gang) return serve_gang(plan, w);
+  take_booting(plan, w);
+  take_empty(plan, w);
+  take_from_lower(plan, w);
+  rent_for(plan, w);
+}
+
+// ---------------------------------------------------------------- giving back
+
+void Renter::give_back(Plan& plan) {
   // A dear machine whose share has room enough elsewhere takes no more tasks, and goes back when it is empty.
-  for (const auto& r : rooms) {
-    if (now < next_gentle_ || r.booting || r.empty || wanting.contains(r.share) || draining_.contains(r.id))
+  for (const auto& r : plan.rooms) {
+    if (plan.now < next_gentle_ || r.booting || r.empty || plan.wanting.contains(r.share) ||
+        draining_.contains(r.id))
       continue;
     const auto& total = types_[r.type].total;
     if (total.gpus == 0 || gpu_wanted_[r.type] || r.spot || r.top_rank >= wire::Rank::production) continue;
     std::int64_t elsewhere = 0;
-    for (const auto& o : rooms)
+    for (const auto& o : plan.rooms)
       if (o.share == r.share && o.id != r.id && !o.booting && !draining_.contains(o.id))
         elsewhere += o.free.cpus;
     if (elsewhere < 2 * (total.cpus - r.free.cpus)) continue;
-    next_gentle_ = now + settings_.drain_every;
-    draining_[r.id] = {-1, now + 40 * kSecond};
-    out.emplace_back(Move{r.id, r.share, -1, true, wire::Rank::low});
+    next_gentle_ = plan.now + settings_.drain_every;
+    draining_[r.id] = {-1, plan.now + 40 * kSecond};
+    plan.actions.emplace_back(Move{r.id, r.share, -1, true, wire::Rank::low});
   }
-  for (const auto& r : rooms) {
+  for (const auto& r : plan.rooms) {
     if (r.booting || draining_.contains(r.id)) continue;
     const Micros idle = r.idle_ms * kMillisecond;
     if (gpu_wanted_[r.type]) {
       if (r.gpu_touched || idle < (r.spot ? settings_.idle_spot_gpu_after : settings_.idle_gpu_after) ||
           r.top_rank > wire::Rank::low)
         continue;
-      if (!r.empty) draining_[r.id] = {-1, now + 15 * kSecond};
-      out.emplace_back(Move{r.id, r.share, -1, !r.empty, wire::Rank::normal});
+      if (!r.empty) draining_[r.id] = {-1, plan.now + kDrainTime};
+      plan.actions.emplace_back(Move{r.id, r.share, -1, !r.empty, wire::Rank::normal});
     } else if (!r.touched && r.empty &&
                idle >= (types_[r.type].total.gpus > 0 ? settings_.idle_gpu_after : settings_.idle_after)) {
-      out.emplace_back(Move{r.id, r.share, -1});
+      plan.actions.emplace_back(Move{r.id, r.share, -1});
     }
   }
-  return out;
+}
+
+std::vector<Action> Renter::tick(Micros now, const std::vector<ShareSaid>& shares,
+                                 const std::map<std::string, MachineRecord>& records) {
+  Plan plan;
+  plan.now = now;
+  condemn_lost(plan, records);
+  gather(plan, shares, records);
+  // First every share's own room, then machines that come or can be moved, then renting.
+  for (auto& w : plan.wants) {
+    if (w.demand.shape == wire::Shape::gang) continue;
+    for (auto& r : plan.rooms)
+      if (r.share == w.share && !r.booting && w.left > 0) fill(w, r);
+    if (w.left > 0) plan.wanting.insert(w.share);
+  }
+  for (auto& w : plan.wants) serve(plan, w);
+  give_back(plan);
+  return std::move(plan.actions);
 }
 
 }  // namespace aspenwick::fleet
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -21,12 +21,12 @@
   Micros lapsed_after = 8 * kSecond;          // a machine whose worker is gone goes back
   Micros refused_for = 12 * kSecond;          // after "no capacity"
   Micros drain_every = 1 * kSecond;           // machines taken from lower-ranking work
-  double dear_factor = 3;                     // a type this much above the cheapest only for urgent work
+  double dear_factor = 3;                     // an offer this much above the cheapest only for urgent work
   double straggler_factor = 2.5;              // of the nominal boot time
   Micros straggler_extra = 15 * kSecond;
   Micros move_idle = kSecond;      // an empty machine may be moved after this
   Micros patience = 40 * kSecond;  // low-priority work should drain in about this time
-  int machines_at_most = 200;
+  double slack_part = 0.6;         // of its slack, before dear machines are rented for low-priority work
 };
 
 struct Rent {
@@ -34,6 +34,8 @@
   std::string zone;
   bool spot = false;
   int count = 1;
+  int share = -1;  // for whose tasks
+  bool operator==(const Rent&) const = default;
 };
 struct Move {
   std::string machine;
@@ -75,8 +77,9 @@
     Micros last_listed = 0;
     int claimed_by = -1;
   };
+  /// Free room of one machine, up or coming.
   struct Room {
-    std::string id;
+    std::string id;  // empty: asked for, not yet answered
     int share = -1;
     std::size_t type = 0;
     std::string zone;
@@ -91,15 +94,49 @@
     std::uint32_t left = 0, fitted = 0;
     std::map<std::string, std::uint32_t> zones;
   };
+  /// What one tick works on.
+  struct Plan {
+    Micros now = 0;
+    std::vector<Room> rooms;
+    std::vector<Want> wants;
+    std::set<int> wanting;  // shares whose own room does not do
+    std::vector<Action> actions;
+    int rents = 0;
+  };
+  struct Offer {
+    std::size_t type = 0;
+    std::string zone;
+    bool spot = false;
+    double cost = 0;  // per task
+    std::uint32_t fits = 0;
+  };
+
+  void condemn_lost(Plan& plan, const std::map<std::string, MachineRecord>& records);
+  void gather(Plan& plan, const std::vector<ShareSaid>& shares,
+              const std::map<std::string, MachineRecord>& records);
+  void serve(Plan& plan, Want& w);
+  void serve_gang(Plan& plan, Want& w);
+  void take_booting(Plan& plan, Want& w);
+  void take_empty(Plan& plan, Want& w);
+  void take_from_lower(Plan& plan, Want& w);
+  void rent_for(Plan& plan, Want& w);
+  void rent(Plan& plan, const Offer& offer, int count, Want& w);
+  void give_back(Plan& plan);
+  bool movable(const Room& r, const Want& w) const;
+  bool drainable_for_gpu(const Room& r, const Want& w) const;
+  std::vector<Offer> offers(const Want& w, Micros now, const std::string& only_zone) const;
+  std::uint32_t wanted(const Want& w, bool dear) const;
   std::uint32_t fill(Want& w, Room& r) const;
+  bool usable(const Want& w, const Room& r) const;
   bool suits(const Want& w, std::size_t type, const std::string& zone, bool spot) const;
-  int rooms_in(const share::Demand& d, const wire::MachineType& type) const;
+  std::uint32_t rooms_in(const share::Demand& d, const wire::Resources& room) const;
   std::size_t type_index(const std::string& name) const;
 
   const wire::PlatformSettings& platform_;
   const std::vector<wire::MachineType>& types_;
   RenterSettings settings_;
   std::map<std::string, Booting> booting_;
+  std::vector<Rent> asked_;  // not yet answered: their machines count as coming
   std::map<std::string, Micros> refused_until_;
   std::map<std::string, Micros> deleting_;
   std::map<std::string, double> spot_price_;
@@ -107,7 +144,7 @@
   std::map<std::string, std::pair<int, Micros>> draining_;  // machine -> share that gets it, until
   std::vector<bool> gpu_wanted_;
   Micros next_drain_ = 0, next_gentle_ = 0;
-  int turn_ = 0, renting_ = 0;
+  int turn_ = 0;
 };
 
 }  // namespace aspenwick::fleet
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -23,6 +23,7 @@
 constexpr Micros kPushAgain = 2 * kSecond;
 constexpr Micros kHoldRoom = 3 * kSecond;  // for what it was made
 constexpr Micros kDrainFor = 20 * kSecond;
+constexpr std::size_t kMostDemands = 64;
 constexpr Micros kDefaultWait = 60 * kSecond;
 }  // namespace
 
@@ -616,7 +617,8 @@
   return m.record.spot ? 0 : 1;
 }
 
-bool Holder::place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now) {
+bool Holder::place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now,
+                       const std::string& zone) {
   if (!within_limit(j, 1)) return false;
   std::map<std::string, int> zones;
   if (j.spec->one_zone || j.spec->spread) zones = zones_of(j);
@@ -626,6 +628,7 @@
     if (m.tasks.contains({j.id, index})) return false;  // an old attempt is still there
   for (auto& [id, m] : machines_) {
     if (!machine_allowed(j, m, now) || !fits(j, m, m.free)) continue;
+    if (!zone.empty() && m.record.zone != zone) continue;
     if (j.spec->one_zone && !zones.empty() && !zones.contains(m.record.zone)) continue;
     if (j.spec->spread)
       if (auto z = zones.find(m.record.zone); z != zones.end() && z->second >= zone_limit) continue;
@@ -665,14 +668,39 @@
   return true;
 }
 
+/// How many tasks of the job `room` holds.
+std::int64_t Holder::slots(const Job& j, const Machine& m, Resources room) const {
+  std::int64_t n = 0;
+  for (; n < j.spec->tasks && fits(j, m, room); ++n) room -= j.spec->need;
+  return n;
+}
+
+/// The zones in which a gang that needs one could start, given the room that `room_of` tells of each machine:
+/// the one with the least to spare first, so that the other stays open for a larger gang. A single "" if any
+/// will do.
+std::vector<std::string> Holder::gang_zones(const Job& j, Micros now,
+                                            const std::function<Resources(const Machine&)>& room_of) const {
+  std::map<std::string, std::int64_t> found;
+  for (const auto& [id, m] : machines_)
+    if (machine_allowed(j, m, now)) found[j.spec->one_zone ? m.record.zone : ""] += slots(j, m, room_of(m));
+  std::vector<std::string> out;
+  for (const auto& [zone, n] : found)
+    if (n >= j.spec->tasks) out.push_back(zone);
+  std::sort(out.begin(), out.end(),
+            [&](const std::string& a, const std::string& b) { return found[a] < found[b]; });
+  return out;
+}
+
 bool Holder::place_gang(Job& j, Micros now) {
   // Old attempts must be gone before the new one starts.
   if (!j.active.empty() || !within_limit(j, j.spec->tasks)) return false;
+  const auto zones = gang_zones(j, now, [](const Machine& m) { return m.free; });
+  if (zones.empty()) return false;
   const std::uint64_t attempt = (epoch_ << kBumpBits) + attempts_ + 1;
   j.gang_attempt = attempt;
   for (std::uint32_t i = 0; i < j.spec->tasks; ++i) {
     if (j.done.test(i)) continue;
-    if (place_one(j, i, attempt, false, now)) continue;
+    if (place_one(j, i, attempt, false, now, zones.front())) continue;
     // All or none.
     j.gang_attempt = 0;
     const auto active = j.active;
@@ -686,6 +714,52 @@
   return true;
 }
 
+/// Stops lower ranks on as many machines of one zone as the whole gang needs, or on none.
+bool Holder::make_gang_room(Job& j, Micros now) {
+  if (!j.active.empty() || !within_limit(j, j.spec->tasks)) return false;
+  auto below = [&](const Placed& p) { return p.job && p.job->spec->rank < j.spec->rank; };
+  auto room_of = [&](const Machine& m) {
+    Resources room = m.free;
+    for (const auto& [key, p] : m.tasks)
+      if (p.halting || below(p)) room += p.need;
+    return room;
+  };
+  const auto zones = gang_zones(j, now, room_of);
+  if (zones.empty()) return false;
+  struct Choice {
+    Machine* machine;
+    std::int64_t slots;
+    double loss;
+  };
+  std::vector<Choice> choices;
+  for (auto& [id, m] : machines_) {
+    if (!machine_allowed(j, m, now) || (j.spec->one_zone && m.record.zone != zones.front())) continue;
+    const auto n = slots(j, m, room_of(m));
+    double loss = 0;
+    for (const auto& [key, p] : m.tasks)
+      if (!p.halting && below(p)) loss += to_seconds(now - p.started) * static_cast<double>(p.need.cpus);
+    if (n > 0) choices.push_back({&m, n, loss});
+  }
+  std::sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.loss < b.loss; });
+  std::int64_t missing = j.spec->tasks;
+  for (const auto& c : choices) {
+    if (missing <= 0) break;
+    Machine& m = *c.machine;
+    missing -= c.slots;
+    m.held_for = j.spec->rank;
+    m.held_until = now + kHoldRoom;
+    for (auto& [key, p] : m.tasks) {
+      if (slots(j, m, m.free) >= c.slots || p.halting || !below(p)) continue;
+      const Micros grace = p.job->spec->checkpoint_every > 0 ? p.job->spec->save_time : 0;
+      if (p.job->spec->shape == Shape::gang)
+        stop_gang(*p.job, grace);
+      else
+        halt(p, grace);
+    }
+  }
+  return true;
+}
+
 bool Holder::make_room(Job& j, Micros now) {
   std::int64_t missing = j.waiting();
   const bool guaranteed = within_guarantee(j);
@@ -751,8 +825,8 @@
   for (Job* j : ordered_jobs(now)) {
     if (!place_allowed(*j) || now < j->not_before) continue;
     if (j->spec->shape == Shape::gang) {
-      if (!place_gang(*j, now) && j->active.empty() && j->spec->rank > Rank::low && j->spec->tasks == 1)
-        make_room(*j, now);
+      if (place_gang(*j, now) || !j->active.empty() || j->spec->rank == Rank::low) continue;
+      if (!make_gang_room(*j, now) && j->spec->tasks == 1) make_room(*j, now);  // of what others borrowed
       continue;
     }
     // Higher ranks rather displace lower ones than take a dear machine.
@@ -903,7 +977,7 @@
 std::vector<Demand> Holder::demands(Micros now) const {
   std::vector<Demand> out;
   for (Job* j : const_cast<Holder*>(this)->ordered_jobs(now)) {
-    if (out.size() >= 40) break;
+    if (out.size() >= kMostDemands) break;
     std::int64_t waiting = j->waiting();
     const wire::Team* t = team(j->spec->team);
     auto use = team_use_.find(j->spec->team);
@@ -941,6 +1015,19 @@
     d.slack_ms = static_cast<std::uint32_t>(std::clamp<Micros>(slack(*j, now) / kMillisecond, 0, 3'600'000));
     const double guess = j->run_count >= 3 ? j->run_sum / j->run_count : to_seconds(j->spec->estimate);
     d.guess_ms = static_cast<std::uint32_t>(std::clamp(guess * 1000, 0.0, 3.6e6));
+    d.one_zone = j->spec->one_zone;
+    // Jobs that are alike are told as one: with ninety services waiting the rest would not be heard of.
+    if (d.shape == wire::Shape::service) {
+      auto same = std::find_if(out.begin(), out.end(), [&](const Demand& o) {
+        return o.shape == d.shape && o.need == d.need && o.types == d.types && o.zone == d.zone &&
+               o.rank == d.rank && o.spot == d.spot && o.one_zone == d.one_zone &&
+               o.closed_zones == d.closed_zones && (o.per_zone > 0) == (d.per_zone > 0) && !d.one_zone;
+      });
+      if (same != out.end()) {
+        same->waiting += d.waiting, same->running += d.running, same->per_zone += d.per_zone;
+        continue;
+      }
+    }
     out.push_back(d);
   }
   return out;
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -45,7 +45,7 @@
   std::uint8_t zone = 255;      // index into the settings' zones
   wire::Rank rank = wire::Rank::low;
   wire::Shape shape = wire::Shape::array;
-  bool spot = false;
+  bool spot = false, one_zone = false;
   std::uint32_t waiting = 0, running = 0;
   std::uint32_t closed_zones = 0;  // bit per zone that may take no more of it
   std::uint32_t per_zone = 0;      // at most so many in a zone; 0: any number
@@ -222,7 +222,12 @@
   std::vector<Order> take_orders(Machine& m, bool by_push, std::uint64_t answer_seq, bool may_start,
                                  Micros now);
   void place_all(Micros now);
-  bool place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now);
+  bool place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now,
+                 const std::string& zone = "");
+  std::int64_t slots(const Job& j, const Machine& m, Resources room) const;
+  std::vector<std::string> gang_zones(const Job& j, Micros now,
+                                      const std::function<Resources(const Machine&)>& room_of) const;
+  bool make_gang_room(Job& j, Micros now);
   int dearness(const Job& j, const Machine& m) const;
   bool place_gang(Job& j, Micros now);
   bool place_allowed(const Job& j) const;
--- a/src/share/peer_frame.cpp
+++ b/src/share/peer_frame.cpp
@@ -76,7 +76,7 @@
       w.num<std::uint8_t>(d.zone);
       w.num<std::uint8_t>(static_cast<std::uint8_t>(d.rank));
       w.num<std::uint8_t>(static_cast<std::uint8_t>(d.shape));
-      w.num<std::uint8_t>(d.spot);
+      w.num<std::uint8_t>(static_cast<std::uint8_t>(d.spot | d.one_zone << 1));
       w.num<std::uint32_t>(d.waiting);
       w.num<std::uint32_t>(d.running);
       w.num<std::uint32_t>(d.closed_zones);
@@ -116,7 +116,8 @@
       if (rank > 3 || shape > 2) throw BadFrame("bad value");
       d.rank = static_cast<wire::Rank>(rank);
       d.shape = static_cast<wire::Shape>(shape);
-      d.spot = r.num<std::uint8_t>() != 0;
+      const auto bits = r.num<std::uint8_t>();
+      d.spot = bits & 1, d.one_zone = bits & 2;
       d.waiting = r.num<std::uint32_t>();
       d.running = r.num<std::uint32_t>();
       d.closed_zones = r.num<std::uint32_t>();
--- a/src/share/peer_frame.h
+++ b/src/share/peer_frame.h
@@ -11,9 +11,9 @@
 namespace aspenwick::share {
 
 inline constexpr std::uint16_t kFrameMagic = 0xA5E7;
-inline constexpr std::uint8_t kFrameVersion = 1;
+inline constexpr std::uint8_t kFrameVersion = 2;
 inline constexpr std::size_t kFrameHeader = 8;
-inline constexpr std::size_t kMaxFrame = 32 * 1024;
+inline constexpr std::size_t kMaxFrame = 128 * 1024;
 
 struct ShareSaid {
   int share = 0;
--- a/tests/frame_test.cpp
+++ b/tests/frame_test.cpp
@@ -35,10 +35,23 @@
   EXPECT_EQ(std::get<StatusTell>(decode(encode(StatusTell{5, true, 9, 2}))).done, 9U);
 }
 
+TEST(Frame, OneNodeThatHoldsAllStillFits) {
+  // At 32 KiB the link dropped whoever held every share of some 400 machines, and its peers took it for dead.
+  Gossip g = full_gossip();
+  const ShareSaid one = g.shares[0];
+  g.shares.clear();
+  for (int s = 0; s < 5; ++s) {
+    g.shares.push_back({s, true, std::vector<Demand>(64, one.demands[0]), {}});
+    g.shares.back().machines.assign(200, one.machines[0]);
+  }
+  const std::string bytes = encode(g);
+  EXPECT_EQ(std::get<Gossip>(decode(bytes)).shares[4].machines.size(), 200U);
+}
+
 TEST(Frame, BytesAreFixed) {
   // Big-endian, whatever the machine: magic, version, type, length, then the fields.
   EXPECT_EQ(encode(StatusAsk{0x01020304, "j-1"}),
-            std::string("\xA5\xE7\x01\x03\0\0\0\x08\x01\x02\x03\x04\x03j-1", 16));
+            std::string("\xA5\xE7\x02\x03\0\0\0\x08\x01\x02\x03\x04\x03j-1", 16));
 }
 
 TEST(Frame, ShortLongAndForeignOnesAreRefused) {
--- a/tests/renter_test.cpp
+++ b/tests/renter_test.cpp
@@ -103,5 +103,53 @@
   EXPECT_TRUE(renter_.has_booting());
 }
 
+TEST_F(RenterTest, AGangGetsMachinesOnlyWhereAllOfItFits) {
+  // Two machines each in z1 and z2 of another share: a gang of three would get a move every tick and never
+  // start.
+  ShareSaid idle{0, true, {}, {}};
+  for (const char* id : {"i-000001", "i-000002", "i-000003", "i-000004"})
+    idle.machines.push_back(machine(id, 0, 3 * kSecond));
+  records_["i-000003"].zone = records_["i-000004"].zone = "z2";
+  share::Demand d = demand(8, 3, true, wire::Rank::normal);
+  d.shape = wire::Shape::gang, d.one_zone = true;
+  for (const auto& t : types_)
+    for (const auto& z : t.zones)
+      for (const bool spot : {true, false}) renter_.rented({0, z, spot, 1, -1}, 503, {}, now_);
+  d.types = 1;
+  const auto none = renter_.tick(now_, {idle, {1, true, {d}, {}}}, records_);
+  EXPECT_TRUE(only<Move>(none).empty());
+  d.waiting = 2;
+  const auto two = only<Move>(renter_.tick(now_, {idle, {1, true, {d}, {}}}, records_));
+  ASSERT_EQ(two.size(), 2U);
+  EXPECT_EQ(records_[two[0].machine].zone, records_[two[1].machine].zone);
+}
+
+TEST_F(RenterTest, RentsInBulkWithinTheZoneLimit) {
+  // Ninety services at a cold start, told as one demand: machines come by the dozen, half of the tasks a
+  // zone.
+  share::Demand d = demand(1, 96, false, wire::Rank::production);
+  d.shape = wire::Shape::service, d.per_zone = 48;
+  const auto rents = only<Rent>(renter_.tick(now_, {{0, true, {d}, {}}}, records_));
+  ASSERT_EQ(rents.size(), 2U);
+  EXPECT_NE(rents[0].zone, rents[1].zone);
+  EXPECT_EQ(rents[0].count + rents[1].count, 12);
+  // Not yet answered, they count as coming.
+  EXPECT_TRUE(only<Rent>(renter_.tick(now_, {{0, true, {d}, {}}}, records_)).empty());
+}
+
+TEST_F(RenterTest, WorkWithSlackDoesNotRentDearMachines) {
+  // Ordinary machines cost 0.8 and spot ones 0.3 for eight tasks; GPU machines ten times as much.
+  share::Demand d = demand(1, 60, true, wire::Rank::low);
+  d.slack_ms = 240'000;
+  for (const auto& z : types_[0].zones)
+    for (const bool spot : {true, false}) renter_.rented({0, z, spot, 1, -1}, 503, {}, now_);
+  EXPECT_FALSE(only<Rent>(renter_.tick(now_, {{0, true, {d}, {}}}, records_)).empty());
+  Renter other{platform_, types_, {}};
+  for (const auto& z : types_[0].zones)
+    for (const bool spot : {true, false}) other.rented({0, z, spot, 1, -1}, 503, {}, now_);
+  d.running = 16;  // in 144 s these do it
+  EXPECT_TRUE(only<Rent>(other.tick(now_, {{0, true, {d}, {}}}, records_)).empty());
+}
+
 }  // namespace
 }  // namespace aspenwick::fleet
