Pace low work earliest first; drain plain machines for urgent production

Booting and dear machines counted as room for production that had 8 s, so nothing was drained for it in other shares and replicas settled on dear machines. Excluded: capacity of plain machines (28 + 6 ordinary ones hold all replicas), spread over zones. Change: slots from the work due up to each demand in the order of slack; urgent high ranks take drained machines before booting ones; production takes a machine with GPUs it does not need only after half of its start objective.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -938,15 +938,25 @@
 
 void Controller::metrics() {
   for (const auto& [share, held] : held_) {
-    wire::Resources free;
-    std::size_t usable = 0;
+    struct Sum {
+      std::size_t machines = 0;
+      wire::Resources total, free;
+    };
+    std::map<std::string, Sum> sums;
     for (const auto& m : held.holder->machine_states(now())) {
-      if (!m.usable) continue;
-      ++usable;
-      free += m.free;
+      auto rec = machines_.find(m.id);
+      if (!m.usable || rec == machines_.end()) continue;
+      Sum& sum = sums[rec->second.type + (rec->second.spot ? " spot" : "")];
+      ++sum.machines;
+      sum.free += m.free;
+      for (const auto& t : types_)
+        if (t.name == rec->second.type) sum.total += t.total;
     }
-    spdlog::info("metrics: share {} machines {} free cpus {} gpus {} waiting tasks {}", share, usable,
-                 free.cpus / 1'000'000, free.gpus / 1'000'000, held.holder->waiting());
+    for (const auto& [type, sum] : sums)
+      spdlog::info("metrics: share {} {}: {} machines, cpus {} of {} free, gpus {} of {} free", share, type,
+                   sum.machines, sum.free.cpus / 1'000'000, sum.total.cpus / 1'000'000,
+                   sum.free.gpus / 1'000'000, sum.total.gpus / 1'000'000);
+    spdlog::info("metrics: share {} waiting tasks {}", share, held.holder->waiting());
   }
   spdlog::info("metrics: reports {} users {} jobs {} machines {} shares {}{}", count_reports_, count_users_,
                jobs_.size(), machines_.size(), held_.size(), leading() ? " leader" : "");
--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -12,6 +12,7 @@
 constexpr int kMostAtOnce = 50;  // the cloud's bound on one request
 constexpr std::size_t kAskedAtOnce = 6;
 constexpr int kDrainsPerTick = 4;
+constexpr Micros kBootsIn = 20 * kSecond;  // a machine that boots is seldom up sooner
 constexpr Micros kDrainTime = 15 * kSecond;
 std::string offer(const std::string& type, const std::string& zone, bool spot) {
   return type + " " + zone + (spot ? " spot" : "");
@@ -110,8 +111,21 @@
   return true;
 }
 
+/// A type without GPUs could do the work.
+bool Renter::plain_type(const share::Demand& d) const {
+  for (std::size_t t = 0; t < types_.size(); ++t)
+    if (types_[t].total.gpus == 0 && (t >= 64 || (d.types >> t & 1)) && rooms_in(d, types_[t].total) > 0)
+      return true;
+  return false;
+}
+
 bool Renter::usable(const Want& w, const Room& r) const {
   if (!suits(w, r.type, r.zone, r.spot)) return false;
+  // Production stays for long: a dear machine that it takes is rented all that time. While it can still start
+  // in time, cheap machines on which lower ranks run make way instead.
+  if (w.demand.rank == wire::Rank::production && w.demand.slack_ms > 0 && w.demand.need.gpus == 0 &&
+      types_[r.type].total.gpus > 0 && plain_type(w.demand))
+    return false;
   // As the holder does: only work that can make way shares a machine with GPU work.
   return w.demand.need.gpus > 0 || r.type >= gpu_wanted_.size() || !gpu_wanted_[r.type] ||
          (w.demand.rank == wire::Rank::low && w.demand.shape == wire::Shape::array && !r.booting);
@@ -253,11 +267,16 @@
   if (w.demand.rank < wire::Rank::high || plan.now < next_drain_) return;
   for (int n = 0; n < kDrainsPerTick && w.left > 0; ++n) {
     Room* least = nullptr;
+    double least_loss = 0;
     for (auto& r : plan.rooms) {
       if (r.booting || r.share == w.share || r.top_rank >= w.demand.rank || r.empty) continue;
       if (draining_.contains(r.id) || (w.demand.need.gpus == 0 && types_[r.type].total.gpus > 0)) continue;
       if (!suits(w, r.type, r.zone, r.spot) || !w.demand.need.fits_in(types_[r.type].total)) continue;
-      if (!least || r.free.cpus > least->free.cpus) least = &r;
+      // What is stopped for each task that gets room.
+      const auto& total = types_[r.type].total;
+      const double loss = static_cast<double>(total.cpus - r.free.cpus) /
+                          static_cast<double>(std::max(1U, std::min(w.left, rooms_in(w.demand, total))));
+      if (!least || loss < least_loss) least = &r, least_loss = loss;
     }
     if (!least) return;
     next_drain_ = plan.now + settings_.drain_every;
@@ -296,17 +315,22 @@
   return all;
 }
 
-/// How many more tasks should find room. Work that can wait runs in several rounds on fewer machines, and on
-/// dear ones only as far as the others would not do it in time.
-std::uint32_t Renter::wanted(const Want& w, bool dear) const {
-  if (w.demand.shape != wire::Shape::array || w.demand.rank >= wire::Rank::high) return w.left;
-  const double guess = w.demand.guess_ms > 0 ? w.demand.guess_ms / 1e3 : 30.0;
+bool Renter::can_wait(const share::Demand& d) {
+  return d.shape == wire::Shape::array && d.rank < wire::Rank::high;
+}
+
+/// How many more tasks should find room. Work that can wait runs in several rounds on fewer machines; dear
+/// ones are for what the others, earliest first, would not do in time. (Each job by itself would want several
+/// times as much: those that must be done later use the machines of those before them.)
+std::uint32_t Renter::wanted(const Plan& plan, const Want& w, bool dear) const {
+  if (!can_wait(w.demand)) return w.left;
+  auto b = plan.backlogs.find(w.share);
+  if (b == plan.backlogs.end()) return 0;
   const double slack = w.demand.slack_ms / 1e3;
   const double drain = dear ? std::max(15.0, slack * settings_.slack_part)
                             : std::clamp(slack * 0.5, 15.0, to_seconds(settings_.patience));
-  const double slots = std::ceil((w.demand.waiting + w.demand.running) * guess / drain);
-  const double have = w.demand.running + w.fitted;
-  return static_cast<std::uint32_t>(std::clamp(slots - have, 0.0, static_cast<double>(w.left)));
+  const double slots = std::ceil(b->second.work / drain) - b->second.slots;
+  return static_cast<std::uint32_t>(std::clamp(slots, 0.0, static_cast<double>(w.left)));
 }
 
 void Renter::rent(Plan& plan, const Offer& o, int count, Want& w) {
@@ -340,15 +364,16 @@
     const bool urgent = w.demand.rank >= wire::Rank::production
                             ? w.demand.slack_ms == 0
                             : w.demand.slack_ms < to_seconds(types_[o.type].boot) * 1000;
-    const bool can_wait = w.demand.shape == wire::Shape::array && w.demand.rank < wire::Rank::high;
-    if (dear && !urgent && !can_wait) continue;
-    std::uint32_t tasks = wanted(w, dear);
+    if (dear && !urgent && !can_wait(w.demand)) continue;
+    std::uint32_t tasks = wanted(plan, w, dear);
     if (w.demand.per_zone > 0) {
       auto z = w.zones.find(o.zone);
       tasks = std::min(tasks, w.demand.per_zone - (z == w.zones.end() ? 0 : z->second));
     }
     if (tasks == 0) continue;
+    const std::uint32_t before = w.fitted;
     rent(plan, o, std::min(kMostAtOnce, static_cast<int>((tasks + o.fits - 1) / o.fits)), w);
+    if (can_wait(w.demand)) plan.backlogs[w.share].slots += w.fitted - before;
   }
 }
 
@@ -419,11 +444,20 @@
 }
 
 void Renter::serve(Plan& plan, Want& w) {
-  if (w.left == 0) return;
-  if (w.demand.shape == wire::Shape::gang) return serve_gang(plan, w);
-  take_booting(plan, w);
+  if (w.demand.shape == wire::Shape::gang) return w.left > 0 ? serve_gang(plan, w) : void();
+  // For what is urgent a machine that boots comes too late: machines on which lower ranks run make way, and
+  // the new ones are for those.
+  const bool urgent = w.demand.rank >= wire::Rank::high && w.demand.slack_ms < kBootsIn / kMillisecond;
+  if (!urgent) take_booting(plan, w);
   take_empty(plan, w);
   take_from_lower(plan, w);
+  if (urgent) take_booting(plan, w);
+  if (can_wait(w.demand)) {
+    const double guess = w.demand.guess_ms > 0 ? w.demand.guess_ms / 1e3 : 30.0;
+    auto& backlog = plan.backlogs[w.share];
+    backlog.work += (w.demand.waiting + 0.5 * w.demand.running) * guess;
+    backlog.slots += w.demand.running + w.fitted;
+  }
   rent_for(plan, w);
 }
 
@@ -475,7 +509,13 @@
       if (r.share == w.share && !r.booting && w.left > 0) fill(w, r);
     if (w.left > 0) plan.wanting.insert(w.share);
   }
-  for (auto& w : plan.wants) serve(plan, w);
+  for (auto& w : plan.wants) {
+    serve(plan, w);
+    if (w.left > 0 && w.demand.rank >= wire::Rank::high)
+      spdlog::debug("share {}: no room for {} of {} tasks of rank {}, slack {} ms, closed zones {:b}",
+                    w.share, w.left, w.demand.waiting, static_cast<int>(w.demand.rank), w.demand.slack_ms,
+                    w.demand.closed_zones);
+  }
   give_back(plan);
   return std::move(plan.actions);
 }
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -100,6 +100,12 @@
     std::vector<Room> rooms;
     std::vector<Want> wants;
     std::set<int> wanting;  // shares whose own room does not do
+    /// A share's work that can wait, up to the demand at hand in the order of its slack.
+    struct Backlog {
+      double work = 0;   // in task seconds
+      double slots = 0;  // that work on it, or will
+    };
+    std::map<int, Backlog> backlogs;
     std::vector<Action> actions;
     int rents = 0;
   };
@@ -125,8 +131,10 @@
   bool movable(const Room& r, const Want& w) const;
   bool drainable_for_gpu(const Room& r, const Want& w) const;
   std::vector<Offer> offers(const Want& w, Micros now, const std::string& only_zone) const;
-  std::uint32_t wanted(const Want& w, bool dear) const;
+  static bool can_wait(const share::Demand& d);
+  std::uint32_t wanted(const Plan& plan, const Want& w, bool dear) const;
   std::uint32_t fill(Want& w, Room& r) const;
+  bool plain_type(const share::Demand& d) const;
   bool usable(const Want& w, const Room& r) const;
   bool suits(const Want& w, std::size_t type, const std::string& zone, bool spot) const;
   std::uint32_t rooms_in(const share::Demand& d, const wire::Resources& room) const;
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -503,10 +503,14 @@
 
 Micros Holder::slack(const Job& j, Micros now) const {
   if (j.spec->deadline) return j.submitted + *j.spec->deadline - j.spec->estimate - now;
+  return j.submitted + start_within(j) - now;
+}
+
+Micros Holder::start_within(const Job& j) const {
   Micros within = kDefaultWait;
   for (const auto& o : platform_.objectives)
     if (o.kind == "wait" && o.job_class == j.spec->job_class) within = o.within;
-  return j.submitted + within - now;
+  return within;
 }
 
 std::vector<Holder::Job*> Holder::ordered_jobs(Micros now) {
@@ -617,6 +621,15 @@
   return m.record.spot ? 0 : 1;
 }
 
+/// Production keeps a machine rented for long. For half of the time that it may take to start, it waits for a
+/// machine without GPUs, which the leader has drained elsewhere, rather than settle on a dear one.
+bool Holder::await_plain(const Job& j, Micros now) const {
+  if (j.spec->rank != Rank::production || j.spec->need.gpus > 0) return false;
+  if (now - j.submitted >= start_within(j) / 2) return false;
+  return std::any_of(types_.begin(), types_.end(),
+                     [&](const auto& t) { return t.total.gpus == 0 && job::type_allowed(*j.spec, t); });
+}
+
 bool Holder::place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now,
                        const std::string& zone) {
   if (!within_limit(j, 1)) return false;
@@ -833,6 +846,7 @@
     const bool may_displace = j->spec->rank >= Rank::high || within_guarantee(*j);
     for (const bool cheap_only : {true, false}) {
       if (cheap_only && !may_displace) continue;
+      if (!cheap_only && await_plain(*j, now)) break;
       bool placed = true;
       while (placed) {
         auto index = next_task(*j);
@@ -1030,6 +1044,12 @@
     }
     out.push_back(d);
   }
+  // What runs of low arrays that have nothing waiting: its machines are free for others soon.
+  Demand busy;
+  for (const auto& [id, j] : jobs_)
+    if (j->spec->shape == Shape::array && j->spec->rank < Rank::high && j->waiting() == 0)
+      busy.running += static_cast<std::uint32_t>(j->active.size());
+  if (busy.running > 0) out.push_back(busy);
   return out;
 }
 
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -240,6 +240,8 @@
   std::optional<std::uint32_t> next_task(Job& j);
   std::vector<Job*> ordered_jobs(Micros now);
   Micros slack(const Job& j, Micros now) const;
+  Micros start_within(const Job& j) const;
+  bool await_plain(const Job& j, Micros now) const;
   void check_rebuilt(Micros now);
   const wire::Team* team(const std::string& name) const;
   void erase_if_over(const std::string& id);
--- a/tests/renter_test.cpp
+++ b/tests/renter_test.cpp
@@ -151,5 +151,32 @@
   EXPECT_TRUE(only<Rent>(other.tick(now_, {{0, true, {d}, {}}}, records_)).empty());
 }
 
+TEST_F(RenterTest, LaterWorkUsesTheMachinesOfEarlierWork) {
+  // Four jobs of 40 tasks due one after another: 16 slots do all of it in time, earliest first. Each by
+  // itself they would want twice as many, on dear machines.
+  ShareSaid said{0, true, {}, {}};
+  for (std::uint32_t n = 1; n <= 4; ++n) {
+    share::Demand d = demand(1, 40, true, wire::Rank::low);
+    d.slack_ms = n * 150'000;
+    said.demands.push_back(d);
+  }
+  said.demands[0].running = 16;
+  for (const auto& z : types_[0].zones)
+    for (const bool spot : {true, false}) renter_.rented({0, z, spot, 1, -1}, 503, {}, now_);
+  EXPECT_TRUE(only<Rent>(renter_.tick(now_, {said}, records_)).empty());
+}
+
+TEST_F(RenterTest, UrgentProductionGetsAMachineOfLowerRanksRatherThanABootingOne) {
+  share::Demand d = demand(2, 2, false, wire::Rank::production);
+  d.shape = wire::Shape::service, d.slack_ms = 4'000;
+  auto low = machine("i-000001", 0, 0);
+  low.empty = false, low.free = {};
+  renter_.listed({{"i-000009", "", "cpu8", "z1", "booting", false, 2 * kSecond}}, records_, now_);
+  const auto moves = only<Move>(renter_.tick(now_, {{0, true, {}, {low}}, {1, true, {d}, {}}}, records_));
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_TRUE(moves[0].drain);
+  EXPECT_EQ(moves[0].to, 1);
+}
+
 }  // namespace
 }  // namespace aspenwick::fleet
