Images first among machines with room; keep the deadlines that can be kept

Excluded: idle CPUs (under 5 %), state and cloud budgets. Change: the holder remembers which images a machine used last and prefers those among the cheapest tier, before q; in the order of deadlines the largest job so far makes way whenever one would be late (Moore's rule). Conclusion: images and Moore's rule kept.

--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -207,6 +207,8 @@
     if (p->second.attempt != t.attempt) continue;
     p->second.fence = 0;
     if (t.state == TaskState::running && p->second.run_since == 0) p->second.run_since = now;
+    if (t.state != TaskState::fetching && p->second.phase != Phase::running && p->second.job)
+      has_image(m, *p->second.job->spec);
     p->second.phase = t.state == TaskState::running ? Phase::running : Phase::present;
   }
   for (auto p = m.tasks.begin(); p != m.tasks.end();) {
@@ -251,6 +253,7 @@
       p.job = &j;
       j.active[t.index] = m.record.id;
       j.again.erase(t.index);
+      if (t.state != TaskState::fetching) has_image(m, *j.spec);
     } else if (!j.active.contains(t.index)) {
       p.job = &j;  // over, but it must be seen to go
       j.active[t.index] = m.record.id;
@@ -513,6 +516,11 @@
   return within;
 }
 
+/// Seconds that a task of the job takes, as seen so far or as its owner guessed.
+double Holder::run_time(const Job& j) {
+  return j.run_count >= 3 ? j.run_sum / j.run_count : to_seconds(j.spec->estimate);
+}
+
 std::vector<Holder::Job*> Holder::ordered_jobs(Micros now) {
   struct Entry {
     Job* job;
@@ -527,15 +535,40 @@
     // Once a deadline can no longer be kept, the job makes way for those that still can: by deadline alone,
     // all jobs of an overloaded hour would be late together. Of the late ones, the shortest first.
     const bool late = j->spec->deadline && left < 0;
-    list.push_back({j.get(), guaranteed, late, late ? static_cast<Micros>(j->waiting()) : left});
+    list.push_back({j.get(), guaranteed, late, left});
   }
-  std::sort(list.begin(), list.end(), [](const Entry& a, const Entry& b) {
+  const auto before = [](const Entry& a, const Entry& b) {
     if (a.job->spec->rank != b.job->spec->rank) return a.job->spec->rank > b.job->spec->rank;
     if (a.guaranteed != b.guaranteed) return a.guaranteed;
     if (a.late != b.late) return b.late;
     if (a.slack != b.slack) return a.slack < b.slack;
     return a.job->id < b.job->id;
-  });
+  };
+  std::sort(list.begin(), list.end(), before);
+  // When not all deadlines can be kept, keep as many as can be: in the order of deadlines, whenever a job
+  // would be late, the largest so far makes way (Moore's rule). Taken one after another, all would miss by a
+  // little.
+  double low_slots = 0;
+  for (const auto& [id, j] : jobs_)
+    if (j->spec->rank == Rank::low && j->spec->shape == Shape::array)
+      low_slots += static_cast<double>(j->active.size());
+  double work = 0;
+  std::vector<std::pair<Entry*, double>> kept;
+  for (Entry& e : list) {
+    if (e.late || !e.job->spec->deadline || e.job->spec->rank != Rank::low || low_slots < 1) continue;
+    kept.emplace_back(&e, e.job->waiting() * run_time(*e.job));
+    work += kept.back().second;
+    while (work / low_slots > to_seconds(e.slack) && !kept.empty()) {
+      auto largest = std::max_element(kept.begin(), kept.end(),
+                                      [](const auto& a, const auto& b) { return a.second < b.second; });
+      largest->first->late = true;
+      work -= largest->second;
+      kept.erase(largest);
+    }
+  }
+  for (Entry& e : list)
+    if (e.late) e.slack = static_cast<Micros>(e.job->waiting());
+  std::sort(list.begin(), list.end(), before);
   std::vector<Job*> out;
   out.reserve(list.size());
   for (const auto& e : list) out.push_back(e.job);
@@ -621,6 +654,27 @@
   return m.record.spot ? 0 : 1;
 }
 
+/// The machine has the image of a task that got past fetching. Like the worker, we take it that those used
+/// last are kept.
+void Holder::has_image(Machine& m, const JobSpec& spec) {
+  if (spec.image.empty() || !m.type) return;
+  std::erase_if(m.images, [&](const auto& i) { return i.first == spec.image; });
+  m.images.insert(m.images.begin(), {spec.image, spec.image_gb});
+  double sum = 0;
+  for (std::size_t i = 0; i < m.images.size(); ++i)
+    if (sum += m.images[i].second; sum > m.type->cache_gb) return m.images.resize(i);
+}
+
+/// How soon a task could start there: 2 with its image, 1 while another task fetches it.
+int Holder::warmth(const Job& j, const Machine& m) const {
+  if (j.spec->image.empty()) return 2;
+  if (std::any_of(m.images.begin(), m.images.end(), [&](const auto& i) { return i.first == j.spec->image; }))
+    return 2;
+  return std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) {
+    return t.second.job && t.second.phase != Phase::assigned && t.second.job->spec->image == j.spec->image;
+  });
+}
+
 /// Production keeps a machine rented for long. For half of the time that it may take to start, it waits for a
 /// machine without GPUs, which the leader has drained elsewhere, rather than settle on a dear one.
 bool Holder::await_plain(const Job& j, Micros now) const {
@@ -652,6 +706,10 @@
   for (const Machine* m : fit) tier = std::min(tier, dearness(j, *m));
   if (cheap_only && tier > 0) return false;
   std::erase_if(fit, [&](const Machine* m) { return dearness(j, *m) > tier; });
+  // Among these, where the image is: fetching it takes as long as many tasks run.
+  int warm = 0;
+  for (const Machine* m : fit) warm = std::max(warm, warmth(j, *m));
+  std::erase_if(fit, [&](const Machine* m) { return warmth(j, *m) < warm; });
   // Equal q: spot machines first, then the fullest.
   std::sort(fit.begin(), fit.end(), [&](const Machine* a, const Machine* b) {
     if (a->record.spot != b->record.spot) return a->record.spot;
@@ -1027,8 +1085,7 @@
     d.waiting = static_cast<std::uint32_t>(waiting);
     d.running = static_cast<std::uint32_t>(j->active.size());
     d.slack_ms = static_cast<std::uint32_t>(std::clamp<Micros>(slack(*j, now) / kMillisecond, 0, 3'600'000));
-    const double guess = j->run_count >= 3 ? j->run_sum / j->run_count : to_seconds(j->spec->estimate);
-    d.guess_ms = static_cast<std::uint32_t>(std::clamp(guess * 1000, 0.0, 3.6e6));
+    d.guess_ms = static_cast<std::uint32_t>(std::clamp(run_time(*j) * 1000, 0.0, 3.6e6));
     d.one_zone = j->spec->one_zone;
     // Jobs that are alike are told as one: with ninety services waiting the rest would not be heard of.
     if (d.shape == wire::Shape::service) {
@@ -1046,10 +1103,15 @@
   }
   // What runs of low arrays that have nothing waiting: its machines are free for others soon.
   Demand busy;
-  for (const auto& [id, j] : jobs_)
-    if (j->spec->shape == Shape::array && j->spec->rank < Rank::high && j->waiting() == 0)
-      busy.running += static_cast<std::uint32_t>(j->active.size());
-  if (busy.running > 0) out.push_back(busy);
+  for (const auto& [id, j] : jobs_) {
+    if (j->spec->shape != Shape::array || j->spec->rank >= Rank::high || j->waiting() > 0) continue;
+    busy.running += static_cast<std::uint32_t>(j->active.size());
+    busy.need += j->spec->need * static_cast<std::int64_t>(j->active.size());
+  }
+  if (busy.running > 0) {
+    busy.need = {busy.need.cpus / busy.running, 0, 0};
+    out.push_back(busy);
+  }
   return out;
 }
 
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -177,7 +177,8 @@
     std::optional<Micros> taken_at;
     Micros suspect_until = 0, idle_since = 0, last_report = 0, push_again = 0;
     std::set<std::string> error_jobs;
-    wire::Rank held_for = wire::Rank::low;  // room being made is for this rank and above
+    std::vector<std::pair<std::string, double>> images;  // name and gigabytes, the last used first
+    wire::Rank held_for = wire::Rank::low;               // room being made is for this rank and above
     Micros held_until = 0;
     int drain_to = -2;  // -2: not drained
     Micros gpu_idle_since = 0;
@@ -241,7 +242,10 @@
   std::vector<Job*> ordered_jobs(Micros now);
   Micros slack(const Job& j, Micros now) const;
   Micros start_within(const Job& j) const;
+  static double run_time(const Job& j);
   bool await_plain(const Job& j, Micros now) const;
+  static void has_image(Machine& m, const JobSpec& spec);
+  int warmth(const Job& j, const Machine& m) const;
   void check_rebuilt(Micros now);
   const wire::Team* team(const std::string& name) const;
   void erase_if_over(const std::string& id);
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -117,6 +117,8 @@
       j["rank"] = key("rank", "low");
       j["pieces"] = static_cast<int>(number("tasks", 1));
       j["vcpus"] = number("cpus", 2);
+      j["bundle"] = key("image", "img");
+      if (keys_.contains("due")) j["dueS"] = number("due", 0);
       j["loaner"] = key("spot", "yes") == "yes";
       j["spread"] = key("spread", "no") == "yes";
       j["together"] = key("together", "no") == "yes";
