Short work takes dear room that is there; dear rents at 85 % of slack; keep spot GPUs

Change: only production displaces before it takes dear room; slack_part 0.6 to 0.85; a spot machine of a type stays while ordinary ones of it are rented.

--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -480,10 +480,15 @@
     draining_[r.id] = {-1, plan.now + 40 * kSecond};
     plan.actions.emplace_back(Move{r.id, r.share, -1, true, wire::Rank::low});
   }
+  // While ordinary machines of a type are rented, a spot one that is idle for a moment would be missed.
+  std::set<std::size_t> ordinary;
+  for (const auto& r : plan.rooms)
+    if (!r.spot && !draining_.contains(r.id)) ordinary.insert(r.type);
   for (const auto& r : plan.rooms) {
     if (r.booting || draining_.contains(r.id)) continue;
     const Micros idle = r.idle_ms * kMillisecond;
     if (gpu_wanted_[r.type]) {
+      if (r.spot && ordinary.contains(r.type)) continue;
       if (r.gpu_touched || idle < (r.spot ? settings_.idle_spot_gpu_after : settings_.idle_gpu_after) ||
           r.top_rank > wire::Rank::low)
         continue;
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -26,7 +26,7 @@
   Micros straggler_extra = 15 * kSecond;
   Micros move_idle = kSecond;      // an empty machine may be moved after this
   Micros patience = 40 * kSecond;  // low-priority work should drain in about this time
-  double slack_part = 0.6;         // of its slack, before dear machines are rented for low-priority work
+  double slack_part = 0.85;        // of its slack, before dear machines are rented for low-priority work
 };
 
 struct Rent {
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -900,26 +900,21 @@
       if (!make_gang_room(*j, now) && j->spec->tasks == 1) make_room(*j, now);  // of what others borrowed
       continue;
     }
-    // Higher ranks rather displace lower ones than take a dear machine.
-    const bool may_displace = j->spec->rank >= Rank::high || within_guarantee(*j);
-    for (const bool cheap_only : {true, false}) {
-      if (cheap_only && !may_displace) continue;
-      if (!cheap_only && await_plain(*j, now)) break;
-      bool placed = true;
-      while (placed) {
-        auto index = next_task(*j);
-        if (!index) break;
-        placed = place_one(*j, *index, (epoch_ << kBumpBits) + attempts_ + 1, cheap_only, now);
-        if (placed) ++attempts_;
-      }
-      if (placed || !may_displace) break;
-      bool coming = false;
-      for (std::uint32_t i = 0; cheap_only && i < j->waiting() && i < 8; ++i) {
-        if (!make_room(*j, now)) break;
-        coming = true;
+    auto place = [&](bool cheap_only) {  // true: all that waits
+      while (auto index = next_task(*j)) {
+        if (!place_one(*j, *index, (epoch_ << kBumpBits) + attempts_ + 1, cheap_only, now)) return false;
+        ++attempts_;
       }
-      if (coming) break;
-    }
+      return true;
+    };
+    // Production rather displaces lower ranks than stay on a dear machine. What is done soon takes dear room
+    // that is there anyway: displaced work is lost.
+    const bool may_displace = j->spec->rank >= Rank::high || within_guarantee(*j);
+    const bool stays = j->spec->rank == Rank::production;
+    if (place(stays) || !may_displace) continue;
+    bool coming = false;
+    for (std::uint32_t i = 0; i < j->waiting() && i < 8 && make_room(*j, now); ++i) coming = true;
+    if (!coming && stays && !await_plain(*j, now)) place(false);
   }
 }
 
--- a/tests/renter_test.cpp
+++ b/tests/renter_test.cpp
@@ -178,5 +178,18 @@
   EXPECT_EQ(moves[0].to, 1);
 }
 
+TEST_F(RenterTest, SpotGpuMachinesStayWhileOrdinaryOnesAreRented) {
+  share::Demand d = demand(1, 1, true, wire::Rank::normal);
+  d.need.gpus = wire::to_units(4), d.types = 2, d.shape = wire::Shape::gang;
+  auto spot = machine("i-000001", 0, 300 * kSecond);
+  auto plain = machine("i-000002", 0, 0);
+  records_["i-000001"].type = records_["i-000002"].type = "gpu4";
+  records_["i-000001"].spot = true;
+  spot.free = types_[1].total, plain.free = {}, plain.empty = false, plain.top_rank = wire::Rank::normal;
+  renter_.tick(now_, {{0, true, {d}, {}}}, records_);  // learns that the type is wanted
+  EXPECT_TRUE(only<Move>(renter_.tick(now_, {{0, true, {}, {spot, plain}}}, records_)).empty());
+  EXPECT_EQ(only<Move>(renter_.tick(now_, {{0, true, {}, {spot}}}, records_)).size(), 1U);
+}
+
 }  // namespace
 }  // namespace aspenwick::fleet
