--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -137,6 +137,7 @@
 }
 
 void Controller::retry(const ExchangePtr& x, const std::string& why) {
+  spdlog::debug("user told to come again: {}", why);
   x->answer(503, wire::error_body(why), 1);
 }
 
