--- /dev/null
+++ b/src/app/keys.h
@@ -0,0 +1,18 @@
+// The keys that nodes share in the state service.
+#pragma once
+#include <string>
+
+namespace aspenwick::app {
+
+// Keys: all under kShared are followed by every node; progress is read by a share's next holder only.
+inline const std::string kShared = "s/";
+inline const std::string kJob = "s/job/";
+inline const std::string kMachine = "s/machine/";
+inline const std::string kHolder = "s/holder/";
+inline const std::string kLeader = "s/leader";
+inline const std::string kToken =
+    "s/token/";  // + share, or "leader": a counter each, or all would race for one
+inline const std::string kTypes = "s/types";
+inline const std::string kProgress = "p/";
+
+}  // namespace aspenwick::app
--- /dev/null
+++ b/src/place/placer.cpp
@@ -0,0 +1,390 @@
+#include "place/placer.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace aspenwick::place {
+
+using wire::Rank;
+using wire::Shape;
+
+namespace {
+constexpr Micros kHoldRoom = 3 * kSecond;  // for what it was made
+constexpr Micros kDefaultWait = 60 * kSecond;
+}  // namespace
+
+void Placer::note_gpu_job(const JobSpec& spec) {
+  if (spec.need.gpus == 0) return;
+  for (std::size_t i = 0; i < types_.size(); ++i)
+    if (job::type_allowed(spec, types_[i])) gpu_wanted_[i] = true;
+}
+
+/// Seconds that a task of the job takes, as seen so far or as its owner guessed.
+double Placer::run_time(const Job& j) {
+  return j.run_count >= 3 ? j.run_sum / j.run_count : to_seconds(j.spec->estimate);
+}
+
+Micros Placer::start_within(const Job& j) const {
+  Micros within = kDefaultWait;
+  for (const auto& o : platform_.objectives)
+    if (o.kind == "wait" && o.job_class == j.spec->job_class) within = o.within;
+  return within;
+}
+
+Micros Placer::slack(const Job& j, Micros now) const {
+  if (j.spec->deadline) return j.submitted + *j.spec->deadline - j.spec->estimate - now;
+  return j.submitted + start_within(j) - now;
+}
+
+std::vector<Job*> Placer::ordered_jobs(Micros now) const {
+  struct Entry {
+    Job* job;
+    bool guaranteed, late;
+    Micros slack;
+  };
+  std::vector<Entry> list;
+  for (auto& [id, j] : picture_.jobs) {
+    if (j->withdrawn || j->finished || j->waiting() == 0) continue;
+    const bool guaranteed = quota_.within_guarantee(*j);
+    const Micros left = slack(*j, now);
+    // Once a deadline can no longer be kept, the job makes way for those that still can: by deadline alone,
+    // all jobs of an overloaded hour would be late together. Of the late ones, the shortest first.
+    const bool late = j->spec->deadline && left < 0;
+    list.push_back({j.get(), guaranteed, late, left});
+  }
+  const auto before = [](const Entry& a, const Entry& b) {
+    if (a.job->spec->rank != b.job->spec->rank) return a.job->spec->rank > b.job->spec->rank;
+    if (a.guaranteed != b.guaranteed) return a.guaranteed;
+    if (a.late != b.late) return b.late;
+    if (a.slack != b.slack) return a.slack < b.slack;
+    return a.job->id < b.job->id;
+  };
+  std::sort(list.begin(), list.end(), before);
+  // When not all deadlines can be kept, keep as many as can be: in the order of deadlines, whenever a job
+  // would be late, the largest so far makes way (Moore's rule). Taken one after another, all would miss by a
+  // little.
+  double low_slots = 0;
+  for (const auto& [id, j] : picture_.jobs)
+    if (j->spec->rank == Rank::low && j->spec->shape == Shape::array)
+      low_slots += static_cast<double>(j->active.size());
+  double work = 0;
+  std::vector<std::pair<Entry*, double>> kept;
+  for (Entry& e : list) {
+    if (e.late || !e.job->spec->deadline || e.job->spec->rank != Rank::low || low_slots < 1) continue;
+    kept.emplace_back(&e, e.job->waiting() * run_time(*e.job));
+    work += kept.back().second;
+    while (work / low_slots > to_seconds(e.slack) && !kept.empty()) {
+      auto largest = std::max_element(kept.begin(), kept.end(),
+                                      [](const auto& a, const auto& b) { return a.second < b.second; });
+      largest->first->late = true;
+      work -= largest->second;
+      kept.erase(largest);
+    }
+  }
+  for (Entry& e : list)
+    if (e.late) e.slack = static_cast<Micros>(e.job->waiting());
+  std::sort(list.begin(), list.end(), before);
+  std::vector<Job*> out;
+  out.reserve(list.size());
+  for (const auto& e : list) out.push_back(e.job);
+  return out;
+}
+
+std::optional<std::uint32_t> Placer::next_task(Job& j) {
+  if (!j.again.empty()) return *j.again.begin();
+  while (j.cursor < j.spec->tasks && (j.done.test(j.cursor) || j.active.contains(j.cursor))) ++j.cursor;
+  if (j.cursor >= j.spec->tasks) return {};
+  return j.cursor;
+}
+
+bool Placer::place_allowed(const Job& j) const {
+  if (j.committing) return false;
+  if (picture_.rebuilt) return true;
+  // Until all machines are accounted for, only jobs that cannot run anywhere yet, of teams without a limit
+  // that unseen tasks might use up.
+  const wire::Team* t = quota_.team(j.spec->team);
+  return j.fresh && t && t->limit.cpus == 0 && t->limit.gpus == 0;
+}
+
+bool Placer::machine_allowed(const Job& j, const Machine& m, Micros now) const {
+  if (!m.type || !m.up || !m.accounted || m.leaving || m.taken_at || m.suspect_until > now) return false;
+  if (m.drain_until > now) return false;
+  // Room that is being made bit by bit must not be filled again from below.
+  if (m.held_until > now && j.spec->rank < m.held_for) return false;
+  if (m.record.spot && !j.spec->spot) return false;
+  if (j.spec->zone && *j.spec->zone != m.record.zone) return false;
+  if (!job::type_allowed(*j.spec, *m.type)) return false;
+  return !j.bad_machines.contains(m.record.id);
+}
+
+bool Placer::fits(const Job& j, const Machine& m, const Resources& free) const {
+  // Machines for GPU work take other work only if it can make way at once: what stays, or outranks GPU work,
+  // would keep a dear machine rented for a few CPUs.
+  if (j.spec->need.gpus == 0 && gpu_wanted_[m.type_index] &&
+      (j.spec->rank > Rank::low || j.spec->shape != Shape::array))
+    return false;
+  return j.spec->need.fits_in(free);
+}
+
+/// Machines that cost much more for this kind of task are a tier of their own: q decides within the cheapest
+/// tier that has room. A long-running task on a GPU machine that it does not need would keep it rented.
+int Placer::dearness(const Job& j, const Machine& m) const {
+  if (j.spec->need.gpus == 0) return m.type->total.gpus > 0 ? 1 : 0;
+  return m.record.spot ? 0 : 1;
+}
+
+/// How soon a task could start there: 2 with its image, 1 while another task fetches it.
+int Placer::warmth(const Job& j, const Machine& m) const {
+  if (j.spec->image.empty()) return 2;
+  if (std::any_of(m.images.begin(), m.images.end(), [&](const auto& i) { return i.first == j.spec->image; }))
+    return 2;
+  return std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) {
+    return t.second.job && t.second.phase != Phase::assigned && t.second.job->spec->image == j.spec->image;
+  });
+}
+
+/// Production keeps a machine rented for long. For half of the time that it may take to start, it waits for a
+/// machine without GPUs, which the leader has drained elsewhere, rather than settle on a dear one.
+bool Placer::await_plain(const Job& j, Micros now) const {
+  if (j.spec->rank != Rank::production || j.spec->need.gpus > 0) return false;
+  if (now - j.submitted >= start_within(j) / 2) return false;
+  return std::any_of(types_.begin(), types_.end(),
+                     [&](const auto& t) { return t.total.gpus == 0 && job::type_allowed(*j.spec, t); });
+}
+
+bool Placer::place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now,
+                       const std::string& zone) {
+  if (!quota_.within_limit(j, 1)) return false;
+  std::map<std::string, int> zones;
+  if (j.spec->one_zone || j.spec->spread) zones = picture_.zones_of(j);
+  const int zone_limit = static_cast<int>((j.spec->tasks + 1) / 2);
+  std::vector<Machine*> fit;
+  for (const auto& [id, m] : picture_.machines)
+    if (m.tasks.contains({j.id, index})) return false;  // an old attempt is still there
+  for (auto& [id, m] : picture_.machines) {
+    if (!machine_allowed(j, m, now) || !fits(j, m, m.free)) continue;
+    if (!zone.empty() && m.record.zone != zone) continue;
+    if (j.spec->one_zone && !zones.empty() && !zones.contains(m.record.zone)) continue;
+    if (j.spec->spread)
+      if (auto z = zones.find(m.record.zone); z != zones.end() && z->second >= zone_limit) continue;
+    fit.push_back(&m);
+  }
+  if (fit.empty()) return false;
+  int tier = 9;
+  for (const Machine* m : fit) tier = std::min(tier, dearness(j, *m));
+  if (cheap_only && tier > 0) return false;
+  std::erase_if(fit, [&](const Machine* m) { return dearness(j, *m) > tier; });
+  // Among these, where the image is: fetching it takes as long as many tasks run.
+  int warm = 0;
+  for (const Machine* m : fit) warm = std::max(warm, warmth(j, *m));
+  std::erase_if(fit, [&](const Machine* m) { return warmth(j, *m) < warm; });
+  // Equal q: spot machines first, then the fullest.
+  std::sort(fit.begin(), fit.end(), [&](const Machine* a, const Machine* b) {
+    if (a->record.spot != b->record.spot) return a->record.spot;
+    if (a->free.cpus != b->free.cpus) return a->free.cpus < b->free.cpus;
+    return a->record.id < b->record.id;
+  });
+  std::vector<std::string> names;
+  names.reserve(fit.size());
+  for (const Machine* m : fit) names.push_back(m->record.id);
+  Machine& m = *fit[rnn_.choose(names)];
+  if (spdlog::should_log(spdlog::level::debug))
+    spdlog::debug("place {}/{} try {} on {} q {:.4f} of {} with room", j.id, index, attempt, m.record.id,
+                  rnn_.q(m.record.id), fit.size());
+  Placed p;
+  p.job = &j;
+  p.job_id = j.id;
+  p.index = index;
+  p.attempt = attempt;
+  p.need = j.spec->need;
+  p.team = j.spec->team;
+  p.started = now;
+  m.free -= p.need;
+  m.tasks.emplace(TaskKey{j.id, index}, std::move(p));
+  j.active[index] = m.record.id;
+  j.again.erase(index);
+  picture_.team_use[j.spec->team] += j.spec->need;
+  return true;
+}
+
+/// How many tasks of the job `room` holds.
+std::int64_t Placer::slots(const Job& j, const Machine& m, Resources room) const {
+  std::int64_t n = 0;
+  for (; n < j.spec->tasks && fits(j, m, room); ++n) room -= j.spec->need;
+  return n;
+}
+
+/// The zones in which a gang that needs one could start, given the room that `room_of` tells of each machine:
+/// the one with the least to spare first, so that the other stays open for a larger gang. A single "" if any
+/// will do.
+std::vector<std::string> Placer::gang_zones(const Job& j, Micros now,
+                                            const std::function<Resources(const Machine&)>& room_of) const {
+  std::map<std::string, std::int64_t> found;
+  for (const auto& [id, m] : picture_.machines)
+    if (machine_allowed(j, m, now)) found[j.spec->one_zone ? m.record.zone : ""] += slots(j, m, room_of(m));
+  std::vector<std::string> out;
+  for (const auto& [zone, n] : found)
+    if (n >= j.spec->tasks) out.push_back(zone);
+  std::sort(out.begin(), out.end(),
+            [&](const std::string& a, const std::string& b) { return found[a] < found[b]; });
+  return out;
+}
+
+bool Placer::place_gang(Job& j, Micros now) {
+  // Old attempts must be gone before the new one starts.
+  if (!j.active.empty() || !quota_.within_limit(j, j.spec->tasks)) return false;
+  const auto zones = gang_zones(j, now, [](const Machine& m) { return m.free; });
+  if (zones.empty()) return false;
+  const std::uint64_t attempt = (epoch_ << kEpochShift) + attempts_ + 1;
+  j.gang_attempt = attempt;
+  for (std::uint32_t i = 0; i < j.spec->tasks; ++i) {
+    if (j.done.test(i)) continue;
+    if (place_one(j, i, attempt, false, now, zones.front())) continue;
+    // All or none.
+    j.gang_attempt = 0;
+    const auto active = j.active;
+    for (const auto& [index, machine] : active) {
+      Machine& m = picture_.machines.at(machine);
+      picture_.drop(m, m.tasks.find({j.id, index}), now, true);
+    }
+    return false;
+  }
+  ++attempts_;
+  return true;
+}
+
+/// Stops lower ranks on as many machines of one zone as the whole gang needs, or on none.
+bool Placer::make_gang_room(Job& j, Micros now) {
+  if (!j.active.empty() || !quota_.within_limit(j, j.spec->tasks)) return false;
+  auto below = [&](const Placed& p) { return p.job && p.job->spec->rank < j.spec->rank; };
+  auto room_of = [&](const Machine& m) {
+    Resources room = m.free;
+    for (const auto& [key, p] : m.tasks)
+      if (p.halting || below(p)) room += p.need;
+    return room;
+  };
+  const auto zones = gang_zones(j, now, room_of);
+  if (zones.empty()) return false;
+  struct Choice {
+    Machine* machine;
+    std::int64_t slots;
+    double loss;
+  };
+  std::vector<Choice> choices;
+  for (auto& [id, m] : picture_.machines) {
+    if (!machine_allowed(j, m, now) || (j.spec->one_zone && m.record.zone != zones.front())) continue;
+    const auto n = slots(j, m, room_of(m));
+    double loss = 0;
+    for (const auto& [key, p] : m.tasks)
+      if (!p.halting && below(p)) loss += to_seconds(now - p.started) * static_cast<double>(p.need.cpus);
+    if (n > 0) choices.push_back({&m, n, loss});
+  }
+  std::sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.loss < b.loss; });
+  std::int64_t missing = j.spec->tasks;
+  for (const auto& c : choices) {
+    if (missing <= 0) break;
+    Machine& m = *c.machine;
+    missing -= c.slots;
+    m.held_for = j.spec->rank;
+    m.held_until = now + kHoldRoom;
+    for (auto& [key, p] : m.tasks) {
+      if (slots(j, m, m.free) >= c.slots || p.halting || !below(p)) continue;
+      const Micros grace = p.job->spec->checkpoint_every > 0 ? p.job->spec->save_time : 0;
+      if (p.job->spec->shape == Shape::gang)
+        picture_.stop_gang(*p.job, grace);
+      else
+        picture_.halt(p, grace);
+    }
+  }
+  return true;
+}
+
+bool Placer::make_room(Job& j, Micros now) {
+  std::int64_t missing = j.waiting();
+  const bool guaranteed = quota_.within_guarantee(j);
+  if (guaranteed && j.spec->rank < Rank::high) {  // others' work is stopped for the guaranteed part only
+    const auto& g = quota_.team(j.spec->team)->guaranteed;
+    const auto& use = picture_.team_use[j.spec->team];
+    missing = std::min(missing, j.spec->need.gpus > 0 ? (g.gpus - use.gpus) / j.spec->need.gpus
+                                                      : (g.cpus - use.cpus) / j.spec->need.cpus);
+  }
+  if (!quota_.within_limit(j, 1)) return false;
+  const int zone_limit = static_cast<int>((j.spec->tasks + 1) / 2);
+  const auto zones = picture_.zones_of(j);
+  Machine* best = nullptr;
+  std::vector<Placed*> best_victims;
+  double best_loss = 0;
+  for (auto& [id, m] : picture_.machines) {
+    if (!machine_allowed(j, m, now)) continue;
+    if (j.spec->one_zone && !zones.empty() && !zones.contains(m.record.zone)) continue;
+    if (j.spec->spread)
+      if (auto z = zones.find(m.record.zone); z != zones.end() && z->second >= zone_limit) continue;
+    Resources coming = m.free;
+    bool stopping = false;
+    for (const auto& [key, p] : m.tasks)
+      if (p.halting) coming += p.need, stopping = true;
+    if (stopping) {  // room that is already on its way
+      while (missing > 0 && fits(j, m, coming)) coming -= j.spec->need, --missing;
+      if (missing <= 0) return false;
+    }
+    std::vector<Placed*> low;
+    for (auto& [key, p] : m.tasks)
+      if (p.job && !p.halting && (p.job->spec->rank < j.spec->rank || (guaranteed && quota_.borrowed(j, p))))
+        low.push_back(&p);
+    std::sort(low.begin(), low.end(), [](const Placed* a, const Placed* b) {
+      return std::pair{a->job->spec->rank, -a->started} < std::pair{b->job->spec->rank, -b->started};
+    });
+    std::vector<Placed*> victims;
+    double loss = 0;
+    for (Placed* p : low) {
+      if (fits(j, m, coming)) break;
+      coming += p->need;
+      victims.push_back(p);
+      loss += to_seconds(now - p->started) * static_cast<double>(p->need.cpus + 8 * p->need.gpus);
+    }
+    // The same test as for placing: else tasks are stopped for room that is then refused, again and again.
+    if (victims.empty() || !fits(j, m, coming)) continue;
+    if (!best || loss < best_loss) best = &m, best_victims = victims, best_loss = loss;
+  }
+  if (!best) return false;
+  best->held_for = j.spec->rank;
+  best->held_until = now + kHoldRoom;
+  for (Placed* p : best_victims) {
+    spdlog::debug("preempt {}/{} on {} for {}", p->job_id, p->index, best->record.id, j.id);
+    const Micros grace = p->job->spec->checkpoint_every > 0 ? p->job->spec->save_time : 0;
+    if (p->job->spec->shape == Shape::gang)
+      picture_.stop_gang(*p->job, grace);
+    else
+      picture_.halt(*p, grace);
+  }
+  return true;
+}
+
+void Placer::place_all(Micros now) {
+  for (Job* j : ordered_jobs(now)) {
+    if (!place_allowed(*j) || now < j->not_before) continue;
+    if (j->spec->shape == Shape::gang) {
+      if (place_gang(*j, now) || !j->active.empty() || j->spec->rank == Rank::low) continue;
+      if (!make_gang_room(*j, now) && j->spec->tasks == 1) make_room(*j, now);  // of what others borrowed
+      continue;
+    }
+    auto place = [&](bool cheap_only) {  // true: all that waits
+      while (auto index = next_task(*j)) {
+        if (!place_one(*j, *index, (epoch_ << kEpochShift) + attempts_ + 1, cheap_only, now)) return false;
+        ++attempts_;
+      }
+      return true;
+    };
+    // Production rather displaces lower ranks than stay on a dear machine. What is done soon takes dear room
+    // that is there anyway: displaced work is lost.
+    const bool may_displace = j->spec->rank >= Rank::high || quota_.within_guarantee(*j);
+    const bool stays = j->spec->rank == Rank::production;
+    if (place(stays) || !may_displace) continue;
+    bool coming = false;
+    for (std::uint32_t i = 0; i < j->waiting() && i < 8 && make_room(*j, now); ++i) coming = true;
+    if (!coming && stays && !await_plain(*j, now)) place(false);
+  }
+}
+
+}  // namespace aspenwick::place
--- /dev/null
+++ b/src/place/placer.h
@@ -0,0 +1,67 @@
+// Which task goes where, and which make way: the order of jobs, the choice of machines by the learner, gangs,
+// preemption. Works on the picture of one share; what it decides is sent by the holder.
+#pragma once
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "place/picture.h"
+#include "place/quota.h"
+#include "place/rnn.h"
+
+namespace aspenwick::place {
+
+class Placer {
+ public:
+  Placer(const wire::PlatformSettings& platform, const std::vector<wire::MachineType>& types,
+         Picture& picture, RnnSettings rnn, std::uint64_t epoch)
+      : platform_(platform),
+        types_(types),
+        picture_(picture),
+        quota_(platform, picture),
+        rnn_(rnn),
+        epoch_(epoch),
+        gpu_wanted_(types.size()) {}
+
+  void place_all(Micros now);
+  /// Jobs with waiting tasks, the first to be placed first.
+  std::vector<Job*> ordered_jobs(Micros now) const;
+  Micros slack(const Job& j, Micros now) const;
+  static double run_time(const Job& j);
+  /// Any share's job: which machine types its GPU tasks can use.
+  void note_gpu_job(const JobSpec& spec);
+  bool gpu_wanted(std::size_t type) const { return gpu_wanted_[type]; }
+  const Quota& quota() const { return quota_; }
+  Rnn& rnn() { return rnn_; }
+  const Rnn& rnn() const { return rnn_; }
+
+ private:
+  bool place_allowed(const Job& j) const;
+  bool machine_allowed(const Job& j, const Machine& m, Micros now) const;
+  bool fits(const Job& j, const Machine& m, const Resources& free) const;
+  int dearness(const Job& j, const Machine& m) const;
+  int warmth(const Job& j, const Machine& m) const;
+  Micros start_within(const Job& j) const;
+  bool await_plain(const Job& j, Micros now) const;
+  static std::optional<std::uint32_t> next_task(Job& j);
+  bool place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now,
+                 const std::string& zone = "");
+  std::int64_t slots(const Job& j, const Machine& m, Resources room) const;
+  std::vector<std::string> gang_zones(const Job& j, Micros now,
+                                      const std::function<Resources(const Machine&)>& room_of) const;
+  bool place_gang(Job& j, Micros now);
+  bool make_gang_room(Job& j, Micros now);
+  bool make_room(Job& j, Micros now);
+
+  const wire::PlatformSettings& platform_;
+  const std::vector<wire::MachineType>& types_;
+  Picture& picture_;
+  Quota quota_;
+  Rnn rnn_;
+  std::uint64_t epoch_;
+  std::uint64_t attempts_ = 0;
+  std::vector<bool> gpu_wanted_;  // types that GPU jobs can use
+};
+
+}  // namespace aspenwick::place
--- /dev/null
+++ b/src/place/quota.h
@@ -0,0 +1,25 @@
+// Teams' limits and guarantees, counting tasks in flight and stopping.
+#pragma once
+#include <string>
+
+#include "place/picture.h"
+#include "wire/settings.h"
+
+namespace aspenwick::place {
+
+class Quota {
+ public:
+  Quota(const wire::PlatformSettings& platform, const Picture& picture)
+      : platform_(platform), picture_(picture) {}
+
+  const wire::Team* team(const std::string& name) const;
+  bool within_limit(const Job& j, std::uint32_t tasks) const;
+  bool within_guarantee(const Job& j) const;
+  bool borrowed(const Job& j, const Placed& p) const;
+
+ private:
+  const wire::PlatformSettings& platform_;
+  const Picture& picture_;
+};
+
+}  // namespace aspenwick::place
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "job/record.h"
-#include "place/rnn.h"
+#include "place/placer.h"
 #include "wire/settings.h"
 
 namespace aspenwick::share {
@@ -25,14 +25,7 @@
 using wire::Order;
 using wire::Resources;
 
-/// A machine as recorded in its share.
-struct MachineRecord {
-  std::string id, address, type, zone;
-  bool spot = false;
-  int share = -1;           // -1: condemned, the leader deletes it
-  std::uint64_t epoch = 0;  // least epoch that may give it orders
-  std::uint64_t version = 0;
-};
+using place::MachineRecord;
 /// The epoch that a worker's token belongs to.
 std::uint64_t epoch_of_token(std::uint64_t token);
 wire::Json machine_to_json(const MachineRecord& m);
@@ -85,7 +78,7 @@
   // ---- events
   void job_known(const std::string& id, const JobRecord& record, bool fresh, Micros now, Micros time_of_day);
   /// Any share's job: which machine types its GPU tasks can use.
-  void note_gpu_job(const JobSpec& spec);
+  void note_gpu_job(const JobSpec& spec) { placer_.note_gpu_job(spec); }
   void load_done(const std::string& job, std::uint32_t chunk, const std::string& text, std::uint64_t version);
   void loaded(Micros now);  // all jobs, done-sets and machines of the share were told
   /// `handed_empty`: recorded after our takeover, so it was handed over empty.
@@ -135,10 +128,10 @@
   std::optional<std::pair<std::uint32_t, std::uint32_t>> tally(const std::string& job) const;
   std::vector<Demand> demands(Micros now) const;
   std::vector<MachineState> machine_states(Micros now) const;
-  bool rebuilt() const { return rebuilt_; }
-  bool has_machine(const std::string& id) const { return machines_.contains(id); }
+  bool rebuilt() const { return picture_.rebuilt; }
+  bool has_machine(const std::string& id) const { return picture_.machines.contains(id); }
   std::uint64_t epoch() const { return epoch_; }
-  const place::Rnn& rnn() const { return rnn_; }
+  const place::Rnn& rnn() const { return placer_.rnn(); }
   int share() const { return settings_.share; }
   std::size_t waiting() const;
 
@@ -146,124 +139,34 @@
   std::vector<std::string> describe() const;
 
  private:
-  enum class Phase : std::uint8_t { assigned, sent, present, running };
-  struct Job;
-  struct Placed {
-    Job* job = nullptr;  // null: not one of ours, to be stopped
-    std::string job_id;
-    std::string team;  // whose limit it counts against
-    std::uint32_t index = 0;
-    std::uint64_t attempt = 0;
-    Resources need;
-    Phase phase = Phase::assigned;
-    bool halting = false;
-    Micros grace = 0;
-    bool by_push = false;          // sent by a push rather than in an answer
-    std::uint64_t answer_seq = 0;  // the report whose answer carried the launch
-    std::uint64_t fence = 0;       // unsure until a report under this token
-    Micros started = 0, run_since = 0, halt_sent = 0;
-  };
-  using TaskKey = std::pair<std::string, std::uint32_t>;
-  struct Machine {
-    MachineRecord record;
-    const wire::MachineType* type = nullptr;
-    std::size_t type_index = 0;
-    Resources free;
-    std::map<TaskKey, Placed> tasks;
-    std::vector<Order> forgets;
-    std::uint64_t session = 0, seq = 0, seen_token = 0, bump = 0;
-    bool up = false, accounted = false, leaving = false, pushing = false, handed_empty = false;
-    Micros lapse_at = 0;  // surely no task is left then, unless renewed
-    std::optional<Micros> taken_at;
-    Micros suspect_until = 0, idle_since = 0, last_report = 0, push_again = 0;
-    std::set<std::string> error_jobs;
-    std::vector<std::pair<std::string, double>> images;  // name and gigabytes, the last used first
-    wire::Rank held_for = wire::Rank::low;               // room being made is for this rank and above
-    Micros held_until = 0;
-    int drain_to = -2;  // -2: not drained
-    Micros gpu_idle_since = 0;
-    Micros drain_until = 0;
-  };
-  struct Job {
-    std::shared_ptr<const JobSpec> spec;
-    std::string id;
-    Micros submitted = 0;  // on the steady clock
-    std::uint64_t version = 0;
-    bool fresh = false;  // accepted after our takeover: nothing of it can run yet
-    bool withdrawn = false, finished = false, committing = false;
-    DoneSet done, recorded;
-    std::vector<std::uint64_t> chunk_versions;
-    std::set<std::uint32_t> dirty, in_flight;
-    std::map<std::uint32_t, std::string> active;  // task -> machine
-    std::set<std::uint32_t> again;
-    std::uint32_t cursor = 0;
-    double run_sum = 0;
-    std::uint32_t run_count = 0;
-    int errors = 0;
-    Micros not_before = 0;
-    std::set<std::string> bad_machines;
-    std::uint64_t gang_attempt = 0;
-    std::uint32_t waiting() const {
-      return spec->tasks - done.count() - static_cast<std::uint32_t>(active.size());
-    }
-  };
+  using Machine = place::Machine;
+  using Job = place::Job;
+  using Phase = place::Phase;
+  using Placed = place::Placed;
+  using TaskKey = place::TaskKey;
 
   std::uint64_t token(const Machine& m) const;
   bool apply(Machine& m, const wire::WorkerReport& r, bool own_report, Micros now);
   void lapse(Machine& m, Micros now, const char* why);
-  void drop(Machine& m, std::map<TaskKey, Placed>::iterator it, Micros now, bool again);
   void task_done(Job& j, Machine& m, const Placed& p, Micros now);
   void task_failed(Job& j, Machine& m, Micros now);
   void adopt(Machine& m, const wire::TaskReport& t, Micros now);
   void task_exited(Machine& m, const wire::TaskReport& t, Micros now);
   Micros surely_lapsed(Micros answered) const;
   std::uint64_t floor(const Machine& m) const;
-  void halt(Placed& p, Micros grace);
-  void stop_gang(Job& j, Micros grace);
   std::vector<Order> take_orders(Machine& m, bool by_push, std::uint64_t answer_seq, bool may_start,
                                  Micros now);
-  void place_all(Micros now);
-  bool place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now,
-                 const std::string& zone = "");
-  std::int64_t slots(const Job& j, const Machine& m, Resources room) const;
-  std::vector<std::string> gang_zones(const Job& j, Micros now,
-                                      const std::function<Resources(const Machine&)>& room_of) const;
-  bool make_gang_room(Job& j, Micros now);
-  int dearness(const Job& j, const Machine& m) const;
-  bool place_gang(Job& j, Micros now);
-  bool place_allowed(const Job& j) const;
-  bool machine_allowed(const Job& j, const Machine& m, Micros now) const;
-  bool fits(const Job& j, const Machine& m, const Resources& free) const;
-  bool within_limit(const Job& j, std::uint32_t tasks) const;
-  bool within_guarantee(const Job& j) const;
-  bool borrowed(const Job& j, const Placed& p) const;
-  bool make_room(Job& j, Micros now);
-  std::optional<std::uint32_t> next_task(Job& j);
-  std::vector<Job*> ordered_jobs(Micros now);
-  Micros slack(const Job& j, Micros now) const;
-  Micros start_within(const Job& j) const;
-  static double run_time(const Job& j);
-  bool await_plain(const Job& j, Micros now) const;
-  static void has_image(Machine& m, const JobSpec& spec);
-  int warmth(const Job& j, const Machine& m) const;
   void check_rebuilt(Micros now);
-  const wire::Team* team(const std::string& name) const;
-  void erase_if_over(const std::string& id);
-  std::map<std::string, int> zones_of(const Job& j) const;
 
   const wire::PlatformSettings& platform_;
   const std::vector<wire::MachineType>& types_;
   HolderSettings settings_;
   std::uint64_t epoch_;
-  std::uint64_t attempts_ = 0;
   Micros renewable_until_;
   JobLookup lookup_;
-  bool loaded_ = false, rebuilt_ = false;
-  std::map<std::string, Machine> machines_;
-  std::map<std::string, std::unique_ptr<Job>> jobs_;
-  std::map<std::string, Resources> team_use_;
-  place::Rnn rnn_;
-  std::vector<bool> gpu_wanted_;  // types that GPU jobs can use
+  bool loaded_ = false;
+  place::Picture picture_;
+  place::Placer placer_;
 };
 
 }  // namespace aspenwick::share
