--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -47,6 +47,7 @@
       base, platform, [this](const share::Frame& f, const share::PeerLink::Reply& r) { on_frame(f, r); });
   server_ = std::make_unique<net::Server>(base, platform.listen, platform.sockets,
                                           [this](const ExchangePtr& x) { route(x); });
+  store_.observe([this](Micros took) { state_calls_.add(took); });
   store_.watch(kShared, {[this](std::vector<wire::Row> rows) { reset_rows(std::move(rows)); },
                          [this](std::vector<wire::Row> rows) {
                            for (const auto& r : rows) apply_row(r);
@@ -773,7 +774,12 @@
 
 void Controller::tick() {
   tick_soon_ = false;
-  for (auto& [s, held] : held_) held.holder->tick(now(), may_start(held));
+  for (auto& [s, held] : held_) {
+    const Micros began = now();
+    held.holder->tick(began, may_start(held));
+    planning_.add(now() - began);
+    for (const Micros w : held.holder->take_waits()) waits_.add(w);
+  }
   for (auto& [s, held] : held_)
     for (const auto& [machine, to] : held.holder->drained()) move_machine(machine, to);
   push_orders();
@@ -802,6 +808,8 @@
                    sum.free.gpus / 1'000'000, sum.total.gpus / 1'000'000);
     spdlog::info("metrics: share {} waiting tasks {}", share, held.holder->waiting());
   }
+  spdlog::info("metrics: waits {}, planning {}, state calls {}", waits_.text(), planning_.text(),
+               state_calls_.text());
   spdlog::info("metrics: reports {} users {} jobs {} machines {} shares {}{}", count_reports_, count_users_,
                jobs_.size(), machines_.size(), held_.size(), leading() ? " leader" : "");
 }
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "app/latency.h"
 #include "app/operator_settings.h"
 #include "fleet/renter.h"
 #include "job/record.h"
@@ -123,6 +124,7 @@
   std::uint32_t asked_ = 0;
   std::map<std::uint32_t, StatusWait> asks_;
   std::vector<event*> timers_;
+  Latency waits_, planning_, state_calls_;
   std::uint64_t count_reports_ = 0, count_users_ = 0;
 };
 
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -192,7 +192,11 @@
     }
     if (p->second.attempt != t.attempt) continue;
     p->second.fence = 0;
-    if (t.state == TaskState::running && p->second.run_since == 0) p->second.run_since = now;
+    if (t.state == TaskState::running && p->second.run_since == 0) {
+      p->second.run_since = now;
+      if (p->second.job && p->second.phase != Phase::running)
+        waits_.push_back(now - p->second.job->submitted);
+    }
     if (t.state != TaskState::fetching && p->second.phase != Phase::running && p->second.job)
       m.used_image(*p->second.job->spec);
     p->second.phase = t.state == TaskState::running ? Phase::running : Phase::present;
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -134,6 +134,8 @@
   const place::Rnn& rnn() const { return placer_.rnn(); }
   int share() const { return settings_.share; }
   std::size_t waiting() const;
+  /// From a job's submission to the starts of its tasks, since last asked.
+  std::vector<Micros> take_waits() { return std::exchange(waits_, {}); }
 
   /// Which machine each live attempt is on, for traces and tests.
   std::vector<std::string> describe() const;
@@ -165,6 +167,7 @@
   Micros renewable_until_;
   JobLookup lookup_;
   bool loaded_ = false;
+  std::vector<Micros> waits_;
   place::Picture picture_;
   place::Placer placer_;
 };
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -97,8 +97,9 @@
 
 void Client::send(Request r) {
   http_.request(r.method, state_, r.path, r.body, r.deadline,
-                [this, done = std::move(r.done)](int status, const std::string& body) {
+                [this, sent = clock_(), done = std::move(r.done)](int status, const std::string& body) {
                   const Micros now = clock_();
+                  if (status != 0 && observer_) observer_(now - sent);
                   if (status == 0 || status == 503)
                     last_bad_ = now;
                   else if (status != 429)
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -54,6 +54,9 @@
   };
   void watch(const std::string& prefix, Watcher watcher);
 
+  /// Told how long each answered call took.
+  void observe(std::function<void(Micros)> observer) { observer_ = std::move(observer); }
+
   /// The service answered lately.
   bool ok(Micros now) const;
   /// So much waits already that one more would be late.
@@ -87,6 +90,7 @@
   std::array<std::deque<Request>, 4> queues_;
   event* pump_timer_ = nullptr;
   Micros last_ok_ = 0, last_bad_ = 0, slow_until_ = 0;
+  std::function<void(Micros)> observer_;
   std::string watch_prefix_;
   Watcher watcher_;
   std::uint64_t watch_revision_ = 0;
