--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -611,7 +611,6 @@
   if (!renter_ || renter_epoch_ != own_.leader()->epoch) {
     renter_ = std::make_unique<fleet::Renter>(platform_, types_, ops_.renting);
     renter_epoch_ = own_.leader()->epoch;
-    hires_ = 0;
     next_list_ = 0;
     spdlog::info("leading with epoch {}", renter_epoch_);
   }
@@ -638,7 +637,7 @@
   if (const auto* rent = std::get_if<fleet::Rent>(&action)) {
     if (cloud_tokens_ < 1) return renter_->rented(*rent, 429, {}, now() - 3600 * kSecond);
     cloud_tokens_ -= 1;
-    const std::string request = "e" + std::to_string(epoch) + "-" + std::to_string(++hires_);
+    const std::string request = request_names_.next(epoch);
     http_.request(EVHTTP_REQ_POST, platform_.cloud, "/rentals",
                   wire::rental_body(request, types_[rent->type].name, rent->zone, rent->spot, rent->count),
                   kCloudDeadline, [this, epoch, rent = *rent](int code, const std::string& body) {
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -117,7 +117,8 @@
   std::map<std::string, share::Gossip> said_;
   std::map<std::string, Micros> said_at_;
   std::unique_ptr<fleet::Renter> renter_;
-  std::uint64_t renter_epoch_ = 0, hires_ = 0;
+  std::uint64_t renter_epoch_ = 0;
+  fleet::RequestNames request_names_;
   Micros next_list_ = 0, next_prices_ = 0, last_done_ = 0, renewed_ = 0;
   double cloud_tokens_ = 1, progress_level_ = 0;
   Micros cloud_last_ = 0;
--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -155,6 +155,8 @@
   };
   for (const auto& [id, m] : records)
     if (m.share < 0) condemn(id);
+  // What has a record is up, whatever an answer of the cloud says: it must not be taken for a straggler.
+  std::erase_if(booting_, [&](const auto& b) { return records.contains(b.first); });
   for (const auto& [id, b] : booting_) {
     const Micros boot = b.type < types_.size() ? types_[b.type].boot : 0;
     const auto limit = static_cast<Micros>(settings_.straggler_factor * static_cast<double>(boot)) +
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -48,6 +48,19 @@
 };
 using Action = std::variant<Rent, Move, Delete>;
 
+/// Names of rental requests, never used twice: the cloud answers a name that it knows with the old machines.
+/// They go on after a pause in which we could not lead, as long as the epoch is the same.
+class RequestNames {
+ public:
+  std::string next(std::uint64_t epoch) {
+    if (epoch != epoch_) epoch_ = epoch, count_ = 0;
+    return "e" + std::to_string(epoch_) + "-" + std::to_string(++count_);
+  }
+
+ private:
+  std::uint64_t epoch_ = 0, count_ = 0;
+};
+
 class Renter {
  public:
   Renter(const wire::PlatformSettings& platform, const std::vector<wire::MachineType>& types,
--- a/tests/renter_test.cpp
+++ b/tests/renter_test.cpp
@@ -191,5 +191,22 @@
   EXPECT_EQ(only<Move>(renter_.tick(now_, {{0, true, {}, {spot}}}, records_)).size(), 1U);
 }
 
+TEST(RequestNames, GoOnAfterAPauseAndNeverRepeat) {
+  // fresh-ff24: after a state outage the leader led again with its old epoch and counted from 1. The cloud
+  // answered with machines that were long up, which were then deleted as stragglers.
+  RequestNames names;
+  EXPECT_EQ(names.next(8), "e8-1");
+  EXPECT_EQ(names.next(8), "e8-2");
+  EXPECT_EQ(names.next(9), "e9-1");
+  EXPECT_EQ(names.next(9), "e9-2");
+}
+
+TEST_F(RenterTest, AMachineThatIsUpIsNoStraggler) {
+  auto up = machine("i-000001", 0, 0);
+  up.empty = false;
+  renter_.rented({0, "z1", false, 1, 0}, 200, {"i-000001"}, now_);
+  EXPECT_TRUE(only<Delete>(renter_.tick(now_ + 300 * kSecond, {{0, true, {}, {up}}}, records_)).empty());
+}
+
 }  // namespace
 }  // namespace aspenwick::fleet
