--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -111,21 +111,9 @@
   return true;
 }
 
-/// A type without GPUs could do the work.
-bool Renter::plain_type(const share::Demand& d) const {
-  for (std::size_t t = 0; t < types_.size(); ++t)
-    if (types_[t].total.gpus == 0 && (t >= 64 || (d.types >> t & 1)) && rooms_in(d, types_[t].total) > 0)
-      return true;
-  return false;
-}
-
 bool Renter::usable(const Want& w, const Room& r) const {
   if (!suits(w, r.type, r.zone, r.spot)) return false;
-  // Production stays for long: a dear machine that it takes is rented all that time. While it can still start
-  // in time, cheap machines on which lower ranks run make way instead.
-  if (w.demand.rank == wire::Rank::production && w.demand.slack_ms > 0 && w.demand.need.gpus == 0 &&
-      types_[r.type].total.gpus > 0 && plain_type(w.demand))
-    return false;
+  if (w.demand.plain_only && types_[r.type].total.gpus > 0) return false;  // as its holder does
   // As the holder does: only work that can make way shares a machine with GPU work.
   return w.demand.need.gpus > 0 || r.type >= gpu_wanted_.size() || !gpu_wanted_[r.type] ||
          (w.demand.rank == wire::Rank::low && w.demand.shape == wire::Shape::array && !r.booting);
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -147,7 +147,6 @@
   static bool can_wait(const share::Demand& d);
   std::uint32_t wanted(const Plan& plan, const Want& w, bool dear) const;
   std::uint32_t fill(Want& w, Room& r) const;
-  bool plain_type(const share::Demand& d) const;
   bool usable(const Want& w, const Room& r) const;
   bool suits(const Want& w, std::size_t type, const std::string& zone, bool spot) const;
   std::uint32_t rooms_in(const share::Demand& d, const wire::Resources& room) const;
--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 constexpr Micros kHoldRoom = 3 * kSecond;  // for what it was made
+constexpr Micros kAwaitPlain = 4 * kSecond;
 constexpr Micros kDefaultWait = 60 * kSecond;
 }  // namespace
 
@@ -144,11 +145,12 @@
   });
 }
 
-/// Production keeps a machine rented for long. For half of the time that it may take to start, it waits for a
-/// machine without GPUs, which the leader has drained elsewhere, rather than settle on a dear one.
+/// Production keeps a machine rented for long. For the few seconds in which the leader may drain one without
+/// GPUs elsewhere it waits, rather than settle on a dear one; where plain machines are all taken, longer
+/// would be in vain.
 bool Placer::await_plain(const Job& j, Micros now) const {
   if (j.spec->rank != Rank::production || j.spec->need.gpus > 0) return false;
-  if (now - j.submitted >= start_within(j) / 2) return false;
+  if (now - j.submitted >= std::min(start_within(j) / 2, kAwaitPlain)) return false;
   return std::any_of(types_.begin(), types_.end(),
                      [&](const auto& t) { return t.total.gpus == 0 && job::type_allowed(*j.spec, t); });
 }
--- a/src/place/placer.h
+++ b/src/place/placer.h
@@ -29,6 +29,7 @@
   std::vector<Job*> ordered_jobs(Micros now) const;
   Micros slack(const Job& j, Micros now) const;
   static double run_time(const Job& j);
+  bool await_plain(const Job& j, Micros now) const;
   /// Any share's job: which machine types its GPU tasks can use.
   void note_gpu_job(const JobSpec& spec);
   bool gpu_wanted(std::size_t type) const { return gpu_wanted_[type]; }
@@ -43,7 +44,6 @@
   int dearness(const Job& j, const Machine& m) const;
   int warmth(const Job& j, const Machine& m) const;
   Micros start_within(const Job& j) const;
-  bool await_plain(const Job& j, Micros now) const;
   static std::optional<std::uint32_t> next_task(Job& j);
   bool place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now,
                  const std::string& zone = "");
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -39,6 +39,7 @@
   wire::Rank rank = wire::Rank::low;
   wire::Shape shape = wire::Shape::array;
   bool spot = false, one_zone = false;
+  bool plain_only = false;  // for now: it waits for a machine without GPUs
   std::uint32_t waiting = 0, running = 0;
   std::uint32_t closed_zones = 0;  // bit per zone that may take no more of it
   std::uint32_t per_zone = 0;      // at most so many in a zone; 0: any number
--- a/src/share/peer_frame.cpp
+++ b/src/share/peer_frame.cpp
@@ -76,7 +76,7 @@
       w.num<std::uint8_t>(d.zone);
       w.num<std::uint8_t>(static_cast<std::uint8_t>(d.rank));
       w.num<std::uint8_t>(static_cast<std::uint8_t>(d.shape));
-      w.num<std::uint8_t>(static_cast<std::uint8_t>(d.spot | d.one_zone << 1));
+      w.num<std::uint8_t>(static_cast<std::uint8_t>(d.spot | d.one_zone << 1 | d.plain_only << 2));
       w.num<std::uint32_t>(d.waiting);
       w.num<std::uint32_t>(d.running);
       w.num<std::uint32_t>(d.closed_zones);
@@ -117,7 +117,7 @@
       d.rank = static_cast<wire::Rank>(rank);
       d.shape = static_cast<wire::Shape>(shape);
       const auto bits = r.num<std::uint8_t>();
-      d.spot = bits & 1, d.one_zone = bits & 2;
+      d.spot = bits & 1, d.one_zone = bits & 2, d.plain_only = bits & 4;
       d.waiting = r.num<std::uint32_t>();
       d.running = r.num<std::uint32_t>();
       d.closed_zones = r.num<std::uint32_t>();
