--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -21,10 +21,11 @@
 constexpr Micros kSoon = 15 * kMillisecond;
 constexpr Micros kPushDeadline = 3 * kSecond;
 constexpr Micros kCloudDeadline = 5 * kSecond;
+constexpr int kReads = 3;              // formats: 3 has rows of units, specs in parts, types in rows
 constexpr double kProgressPart = 0.3;  // of the changes that the state service takes
 
-std::string progress_key(int share, const std::string& job, std::uint32_t chunk) {
-  return kProgress + std::to_string(share) + "/" + job + "/" + std::to_string(chunk);
+std::string progress_key(int share, const std::string& job, std::uint32_t row) {
+  return kProgress + std::to_string(share) + "/" + job + "/" + share::Holder::row_name(row);
 }
 
 struct Periodic {
@@ -42,7 +43,11 @@
       http_(base, 24),
       workers_(base, 2),
       store_(base, http_, platform, [this] { return now(); }),
-      own_(platform) {
+      own_(platform),
+      graph_([this](const std::string& id) -> const job::JobRecord* {
+        auto it = jobs_.find(id);
+        return it == jobs_.end() ? nullptr : &it->second;
+      }) {
   peers_ = std::make_unique<share::PeerLink>(
       base, platform, [this](const share::Frame& f, const share::PeerLink::Reply& r) { on_frame(f, r); });
   server_ = std::make_unique<net::Server>(base, platform.listen, platform.sockets,
@@ -51,6 +56,7 @@
   store_.watch(kShared, {[this](std::vector<wire::Row> rows) { reset_rows(std::move(rows)); },
                          [this](std::vector<wire::Row> rows) {
                            for (const auto& r : rows) apply_row(r);
+                           follow_graph();
                            sync_holders();
                            poke();
                          }});
@@ -58,6 +64,7 @@
   every(500 * kMillisecond, &Controller::gossip);
   every(500 * kMillisecond, &Controller::lead);
   every(200 * kMillisecond, &Controller::ownership);
+  every(5 * kSecond, &Controller::replan);
   every(10 * kSecond, &Controller::metrics);
 }
 
@@ -225,6 +232,7 @@
   for (const auto& key : lost) apply_row({key, nullptr, 0, true});
   for (const auto& r : rows) apply_row(r);
   synced_ = true;
+  follow_graph();
   if (first) {
     spdlog::info("in step with the state service: {} jobs, {} machines", jobs_.size(), machines_.size());
     // Our former process has ended: its lease ends with it, and its shares are free at once.
@@ -248,8 +256,15 @@
       if (row.removed) return;
       auto it = jobs_.find(id);
       if (it != jobs_.end() && it->second.version >= row.version) return;
-      jobs_[id] = job::record_from_json(row.value, row.version);
-      feed_job(id, jobs_[id]);
+      set_job(id, job::record_from_json(row.value, row.version));
+    } else if (key.starts_with(kPart)) {
+      apply_part(row);
+    } else if (key.starts_with(kNode)) {
+      const std::string node = key.substr(kNode.size());
+      if (row.removed)
+        readers_.erase(node);
+      else
+        readers_[node] = {row.value.at("lease").get<std::uint64_t>(), row.version};
     } else if (key.starts_with(kMachine)) {
       const std::string id = key.substr(kMachine.size());
       if (row.removed) {
@@ -277,8 +292,8 @@
         own_.leader_set(share::holder_from_json(row.value, row.version));
     } else if (key.starts_with(kToken) && !row.removed) {
       tokens_[key] = {row.value.at("n").get<std::uint64_t>(), row.version};
-    } else if (key == kTypes && !row.removed) {
-      if (types_.empty()) types_ = wire::types_from_json(row.value);
+    } else if (key.starts_with(kTypes) && !row.removed) {
+      apply_types(row);
     }
   } catch (const std::exception& e) {
     spdlog::error("state service: {}: {}", key, e.what());
@@ -288,9 +303,184 @@
 void Controller::feed_job(const std::string& id, const job::JobRecord& record) {
   for (auto& [share, held] : held_) {
     if (!held.holder) continue;
+    // A job that waits for others has no part in anything yet.
+    if (!record.final() && (!record.spec || !graph_.ready(id))) continue;
     if (record.spec) held.holder->note_gpu_job(*record.spec);
     if (!record.final() && own_.share_of_team(record.spec->team) != share) continue;
-    held.holder->job_known(id, record, record.version > held.key_version, now(), time_of_day());
+    const std::uint64_t since = std::max(record.version, graph_.ready_version(id));
+    held.holder->job_known(id, record, since > held.key_version, now(), time_of_day());
+    if (!record.final()) held.holder->set_course(id, graph_.course(id, record), now(), time_of_day());
+  }
+}
+
+/// Every record that we see, read or committed, goes this way: into memory, the graph and the holders.
+void Controller::set_job(const std::string& id, job::JobRecord record) {
+  job::JobRecord& kept = jobs_[id];
+  // A record in parts is whole once they are all here; one written before keeps its spec.
+  if (!record.spec && kept.spec && record.status != JobStatus::done) record.spec = kept.spec;
+  kept = std::move(record);
+  if (kept.final()) parts_.erase(id);
+  if (!kept.final() && !kept.spec) return assemble(id);
+  graph_.update(id, kept);
+  feed_job(id, kept);
+}
+
+void Controller::apply_part(const wire::Row& row) {
+  const std::string name = row.key.substr(kPart.size());
+  const auto tag = name.find('/'), n = name.rfind('/');
+  if (tag == std::string::npos || n == tag) return;
+  const std::string id = name.substr(0, tag);
+  if (row.removed) {
+    if (auto it = parts_.find(id); it != parts_.end()) it->second.erase(name.substr(tag + 1, n - tag - 1));
+    return;
+  }
+  if (auto it = jobs_.find(id); it != jobs_.end() && (it->second.final() || it->second.spec)) return;
+  parts_[id][name.substr(tag + 1, n - tag - 1)][static_cast<std::uint32_t>(std::stoul(name.substr(n + 1)))] =
+      row.value.get<std::string>();
+  assemble(id);
+}
+
+void Controller::assemble(const std::string& id) {
+  auto j = jobs_.find(id);
+  if (j == jobs_.end() || j->second.final() || j->second.spec || j->second.parts == 0) return;
+  const auto& parts = parts_[id][j->second.parts_tag];
+  if (parts.size() < j->second.parts) return;
+  std::vector<std::string> texts;
+  for (const auto& [n, text] : parts) texts.push_back(text);
+  j->second.spec = job::spec_from_parts(texts);
+  parts_.erase(id);
+  graph_.update(id, j->second);
+  feed_job(id, j->second);
+}
+
+void Controller::delete_keys(std::vector<std::string> keys) {
+  std::vector<wire::Write> writes;
+  for (auto& key : keys) {
+    writes.push_back({std::move(key), nullptr, {}, true});
+    if (writes.size() < store_.txn_ops() && &key != &keys.back()) continue;
+    store_.commit({}, std::exchange(writes, {}), store::Urgency::background, [](int, std::uint64_t) {});
+  }
+}
+
+/// The parts of a job that is over say nothing any more. If this fails they only lie there.
+void Controller::drop_parts(const std::string& id, const job::JobRecord& record) {
+  std::vector<std::string> keys;
+  for (std::uint32_t n = 0; n < record.parts; ++n)
+    keys.push_back(kPart + id + "/" + record.parts_tag + "/" + std::to_string(n));
+  delete_keys(std::move(keys));
+}
+
+/// Stages that open, and what those that need a job grant it.
+void Controller::follow_graph() {
+  for (const auto& id : graph_.take_changed()) {
+    auto it = jobs_.find(id);
+    if (it != jobs_.end() && !it->second.final()) feed_job(id, it->second);
+  }
+}
+
+/// The records below a withdrawn job follow what users are told already: in batches, by whoever holds the
+/// share.
+void Controller::withdraw_doomed() {
+  if (withdrawing_ || graph_.to_withdraw().empty() || !store_.writes_spare()) return;
+  for (auto& [s, held] : held_) {
+    if (!may_start(held)) continue;
+    std::vector<wire::Guard> guards{{kHolder + std::to_string(s), held.key_version}};
+    std::vector<wire::Write> writes;
+    std::vector<std::string> ids;
+    for (const auto& id : graph_.to_withdraw()) {
+      auto it = jobs_.find(id);
+      if (it == jobs_.end() || it->second.final() || !it->second.spec) continue;
+      if (own_.share_of_team(it->second.spec->team) != s) continue;
+      guards.push_back({kJob + id, it->second.version});
+      writes.push_back({kJob + id, job::withdrawn_value(it->second, platform_.value_room()), {}, false});
+      ids.push_back(id);
+      if (ids.size() >= std::min(store_.txn_ops(), withdraw_batch_)) break;
+    }
+    if (ids.empty()) continue;
+    withdrawing_ = true;
+    store_.commit(std::move(guards), std::move(writes), store::Urgency::background,
+                  [this, ids](int code, std::uint64_t revision) {
+                    withdrawing_ = false;
+                    // One of them was changed elsewhere: the watch tells which, the rest go on one by one.
+                    withdraw_batch_ = code == 409 ? 1 : 8;
+                    if (code != 200) return;
+                    spdlog::info("withdrawn with a job that they need: {} jobs, {} ...", ids.size(), ids[0]);
+                    for (const auto& id : ids) {
+                      auto it = jobs_.find(id);
+                      if (it == jobs_.end() || it->second.final()) continue;
+                      job::JobRecord record = it->second;
+                      record.status = JobStatus::withdrawn;
+                      record.version = revision;
+                      drop_parts(id, record);
+                      set_job(id, std::move(record));
+                    }
+                    follow_graph();
+                  });
+    return;
+  }
+}
+
+/// Tells `then` once all job records are as fresh as a read made after this call; false if the service can't
+/// be asked. Several askers share a read.
+void Controller::fresh_jobs(std::function<void(bool)> then) {
+  want_fresh_.push_back(std::move(then));
+  if (freshening_) return;
+  freshening_ = true;
+  auto asked = std::make_shared<std::vector<std::function<void(bool)>>>(std::exchange(want_fresh_, {}));
+  const std::uint64_t since = std::max(jobs_revision_, store_.watched());
+  store_.changes(kJob, since,
+                 [this, asked](bool ok, const std::vector<wire::Row>& rows, std::uint64_t revision) {
+                   if (ok) {
+                     for (const auto& r : rows) apply_row(r);
+                     jobs_revision_ = std::max(jobs_revision_, revision);
+                     follow_graph();
+                   } else {
+                     jobs_revision_ = 0;  // perhaps too old
+                   }
+                   freshening_ = false;
+                   for (const auto& f : *asked) f(ok);
+                   if (!want_fresh_.empty() && !freshening_) {
+                     auto first = std::move(want_fresh_.back());
+                     want_fresh_.pop_back();
+                     fresh_jobs(std::move(first));
+                   }
+                 });
+}
+
+/// A row on our lease that says which formats we read. The first version wrote none, so a node without one
+/// gets only what that version reads.
+void Controller::announce() {
+  auto it = readers_.find(platform_.name);
+  if (announcing_ || !own_.lease() || (it != readers_.end() && it->second.first == *own_.lease())) return;
+  announcing_ = true;
+  const std::uint64_t lease = *own_.lease();
+  store_.commit({{kNode + platform_.name, it == readers_.end() ? 0 : it->second.second}},
+                {{kNode + platform_.name, {{"lease", lease}, {"reads", kReads}}, lease, false}},
+                store::Urgency::background,
+                [this](int, std::uint64_t) { later(kSecond, [this] { announcing_ = false; }); });
+}
+
+/// Machine types that one value doesn't hold are spread over several; indices mean the same to all nodes, so
+/// none are known until all are.
+void Controller::apply_types(const wire::Row& row) {
+  if (!types_.empty()) return;
+  if (row.key == kTypes) {
+    types_ = wire::types_from_json(row.value);
+    return;
+  }
+  type_parts_[std::stoul(row.key.substr(kTypes.size() + 1))] = wire::types_from_json(row.value);
+  if (type_parts_.size() < row.value.at("rows").get<std::size_t>()) return;
+  for (const auto& [n, types] : type_parts_) types_.insert(types_.end(), types.begin(), types.end());
+}
+
+void Controller::write_types(const std::vector<wire::MachineType>& types) {
+  const auto rows = job::types_rows(types, platform_.value_room());
+  if (rows.size() == 1)
+    return store_.commit({{kTypes, 0}}, {{kTypes, rows[0], {}, false}}, store::Urgency::user,
+                         [](int, std::uint64_t) {});
+  for (std::size_t n = 0; n < rows.size(); ++n) {
+    const std::string key = kTypes + "/" + std::to_string(n);
+    store_.commit({{key, 0}}, {{key, rows[n], {}, false}}, store::Urgency::user, [](int, std::uint64_t) {});
   }
 }
 
@@ -350,14 +540,16 @@
                     if (it == held_.end() || it->second.epoch != epoch) return;
                     if (!ok) return later(300 * kMillisecond, [load] { (*load)(); });
                     const std::size_t skip = (kProgress + std::to_string(s) + "/").size();
+                    std::vector<std::string> over;
                     for (const auto& r : rows) {
-                      const auto slash = r.key.rfind('/');
-                      if (slash < skip || !r.value.is_string()) continue;
-                      it->second.holder->load_done(
-                          r.key.substr(skip, slash - skip),
-                          static_cast<std::uint32_t>(std::stoul(r.key.substr(slash + 1))),
-                          r.value.get<std::string>(), r.version);
+                      const auto name = share::Holder::parse_row_name(r.key.substr(skip));
+                      if (!name || !r.value.is_string()) continue;
+                      if (auto j = jobs_.find(name->first); j != jobs_.end() && j->second.final())
+                        over.push_back(r.key);
+                      it->second.holder->load_done(name->first, name->second, r.value.get<std::string>(),
+                                                   r.version);
                     }
+                    delete_keys(std::move(over));  // left by a holder that ended, or that knew no such rows
                     it->second.holder->loaded(now());
                     poke();
                   });
@@ -403,6 +595,7 @@
   if (!synced_) return;
   renew();
   own_lease();
+  announce();
   for (const int s : own_.to_take(now())) take_share(s);
   if (own_.take_leader(now())) take_leader();
   if (auto s = own_.to_hand_back(now())) hand_back(*s);
@@ -463,6 +656,10 @@
 
 void Controller::record_done() {
   finish_jobs();
+  withdraw_doomed();
+  const bool all_new = std::all_of(platform_.siblings.begin(), platform_.siblings.end(),
+                                   [&](const auto& n) { return readers_.contains(n.name); });
+  for (auto& [s, held] : held_) held.holder->set_all_read_units(all_new);
   // Done-sets are written at a pace that leaves most changes to users and machines; until then the workers
   // keep the results. A finished job's own record says it all.
   const Micros t = now();
@@ -481,8 +678,8 @@
     std::vector<wire::Guard> guards{{kHolder + std::to_string(s), held.key_version}};
     std::vector<wire::Write> puts;
     for (const auto& w : writes) {
-      guards.push_back({progress_key(s, w.job, w.chunk), w.version});
-      puts.push_back({progress_key(s, w.job, w.chunk), w.text, {}, false});
+      guards.push_back({progress_key(s, w.job, w.row), w.version});
+      puts.push_back({progress_key(s, w.job, w.row), w.text, {}, false});
     }
     store_.commit(
         std::move(guards), std::move(puts), store::Urgency::background,
@@ -495,7 +692,7 @@
               continue;
             }
             // Perhaps executed: the key's version must be read before the next try.
-            store_.get(progress_key(s, w.job, w.chunk), store::Urgency::read,
+            store_.get(progress_key(s, w.job, w.row), store::Urgency::read,
                        [this, s, epoch, w](int got, const wire::Row& row) {
                          auto k = held_.find(s);
                          if (k == held_.end() || k->second.epoch != epoch) return;
@@ -515,28 +712,36 @@
       if (it == jobs_.end() || it->second.final()) continue;
       job::JobRecord record = it->second;
       record.status = JobStatus::done;
+      record.finished = time_of_day();
       held.holder->set_committing(id, true);
       std::vector<wire::Write> writes{{kJob + id, job::record_to_json(record), {}, false}};
-      for (const auto& key : held.holder->done_keys(id))
+      std::vector<std::string> rest;
+      for (const auto& name : held.holder->done_keys(id)) {
+        const std::string key = kProgress + std::to_string(s) + "/" + name;
         if (writes.size() < store_.txn_ops())
-          writes.push_back({kProgress + std::to_string(s) + "/" + key, nullptr, {}, true});
-      store_.commit({{kHolder + std::to_string(s), held.key_version}, {kJob + id, record.version}},
-                    std::move(writes), store::Urgency::user,
-                    [this, s = s, epoch = held.epoch, id, record](int code, std::uint64_t revision) mutable {
-                      if (code == 200) {
-                        record.version = revision;
-                        record.spec.reset();
-                        jobs_[id] = record;
-                        feed_job(id, record);
-                        poke();
-                        return;
-                      }
-                      later(300 * kMillisecond, [this, s, epoch, id] {
-                        auto h = held_.find(s);
-                        if (h != held_.end() && h->second.epoch == epoch)
-                          h->second.holder->set_committing(id, false);
-                      });
-                    });
+          writes.push_back({key, nullptr, {}, true});
+        else
+          rest.push_back(key);
+      }
+      store_.commit(
+          {{kHolder + std::to_string(s), held.key_version}, {kJob + id, record.version}}, std::move(writes),
+          store::Urgency::user,
+          [this, s = s, epoch = held.epoch, id, record, rest](int code, std::uint64_t revision) mutable {
+            if (code == 200) {
+              delete_keys(std::move(rest));
+              record.version = revision;
+              record.spec.reset();
+              drop_parts(id, record);
+              set_job(id, std::move(record));
+              follow_graph();
+              poke();  // what waited for it starts at once
+              return;
+            }
+            later(300 * kMillisecond, [this, s, epoch, id] {
+              auto h = held_.find(s);
+              if (h != held_.end() && h->second.epoch == epoch) h->second.holder->set_committing(id, false);
+            });
+          });
     }
   }
 }
@@ -556,8 +761,7 @@
                     auto types = wire::parse_types(body);
                     if (renter_) renter_->prices(types);
                     if (!types_.empty() || types.empty()) return;
-                    store_.commit({{kTypes, 0}}, {{kTypes, wire::types_to_json(types), {}, false}},
-                                  store::Urgency::user, [](int, std::uint64_t) {});
+                    write_types(types);
                   } catch (const std::exception& e) {
                     spdlog::error("cloud: {}", e.what());
                   }
@@ -673,7 +877,7 @@
                       if (it == machines_.end()) continue;
                       guards.push_back({kMachine + id, it->second.version});
                       writes.push_back({kMachine + id, nullptr, {}, true});
-                      if (writes.size() >= 4) flush();
+                      if (writes.size() >= std::min<std::size_t>(4, store_.txn_ops())) flush();
                     }
                     flush();
                   });
@@ -763,8 +967,8 @@
     if (it == jobs_.end() || it->second.final()) return;
     job::JobRecord record = it->second;
     record.status = JobStatus::withdrawn;
-    jobs_[w->job] = record;
-    feed_job(w->job, record);
+    set_job(w->job, std::move(record));
+    follow_graph();
     poke();
   }
 }
@@ -785,6 +989,11 @@
   record_done();
 }
 
+void Controller::replan() {
+  graph_.replan();
+  follow_graph();
+}
+
 void Controller::metrics() {
   for (const auto& [share, held] : held_) {
     struct Sum {
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -11,7 +11,7 @@
 #include "app/latency.h"
 #include "app/operator_settings.h"
 #include "fleet/renter.h"
-#include "job/record.h"
+#include "job/graph.h"
 #include "net/http.h"
 #include "share/holder.h"
 #include "share/ownership.h"
@@ -35,6 +35,16 @@
     std::uint64_t key_version = 0;
     bool loading = false, handing_back = false;
   };
+  /// A submission whose needed jobs are being looked up.
+  struct Submission {
+    ExchangePtr exchange;
+    job::JobRecord record;
+    std::size_t next_need = 0;
+    int asked = 0;
+    job::RecordRows rows;
+    std::string tag;
+    std::size_t next_part = 0;
+  };
   struct StatusWait {
     ExchangePtr exchange;
     std::string job;
@@ -49,7 +59,12 @@
   // users
   void route(const ExchangePtr& x);
   void submit(const ExchangePtr& x);
+  void check_needs(const std::shared_ptr<Submission>& s);
+  void never_accepted(const std::shared_ptr<Submission>& s, const std::string& need);
+  void accept(const std::shared_ptr<Submission>& s);
+  void write_record(const std::shared_ptr<Submission>& s);
   void status(const ExchangePtr& x, const std::string& id);
+  void status_below(const ExchangePtr& x, const std::string& id);
   void withdraw(const ExchangePtr& x, const std::string& id, int tries);
   void tell_status(const ExchangePtr& x, const std::string& id);
   void retry(const ExchangePtr& x, const std::string& why);
@@ -64,6 +79,17 @@
   // state
   void reset_rows(std::vector<wire::Row> rows);
   void apply_row(const wire::Row& row);
+  void set_job(const std::string& id, job::JobRecord record);
+  void apply_part(const wire::Row& row);
+  void assemble(const std::string& id);
+  void drop_parts(const std::string& id, const job::JobRecord& record);
+  void delete_keys(std::vector<std::string> keys);
+  void follow_graph();
+  void withdraw_doomed();
+  void fresh_jobs(std::function<void(bool)> then);
+  void announce();
+  void apply_types(const wire::Row& row);
+  void write_types(const std::vector<wire::MachineType>& types);
   void own_lease();
   void renew();
   void ownership();
@@ -91,6 +117,7 @@
   std::vector<share::ShareSaid> own_shares() const;
 
   void tick();
+  void replan();
   void metrics();
   bool may_start(const HeldShare& s) const;
 
@@ -105,6 +132,15 @@
 
   bool synced_ = false, lease_asked_ = false, tick_soon_ = false;
   std::unordered_map<std::string, job::JobRecord> jobs_;
+  job::Graph graph_;
+  std::unordered_map<std::string, std::map<std::string, std::map<std::uint32_t, std::string>>> parts_;
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>
+      readers_;  // node -> lease, version of its row
+  std::map<std::size_t, std::vector<wire::MachineType>> type_parts_;
+  std::vector<std::function<void(bool)>> want_fresh_;
+  std::uint64_t jobs_revision_ = 0, tags_ = 0;
+  bool freshening_ = false, withdrawing_ = false, announcing_ = false;
+  std::size_t withdraw_batch_ = 8;
   std::map<std::string, share::MachineRecord> machines_;
   std::vector<wire::MachineType> types_;
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> tokens_;  // key -> epoch, version
--- a/src/app/keys.h
+++ b/src/app/keys.h
@@ -12,7 +12,9 @@
 inline const std::string kLeader = "s/leader";
 inline const std::string kToken =
     "s/token/";  // + share, or "leader": a counter each, or all would race for one
-inline const std::string kTypes = "s/types";
+inline const std::string kTypes = "s/types";  // + "/n" where one value doesn't hold them all
+inline const std::string kNode = "s/node/";   // what a node reads, on its lease; the first version wrote none
+inline const std::string kPart = "s/part/";   // + job/tag/n: the text of a spec that one value doesn't hold
 inline const std::string kProgress = "p/";
 
 }  // namespace aspenwick::app
--- a/src/app/user_requests.cpp
+++ b/src/app/user_requests.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 constexpr Micros kPeerAnswer = 300 * kMillisecond;
+constexpr int kMostLookUps = 32;                  // of needed jobs that we don't know, for one submission
+constexpr std::size_t kTransactionRoom = 40'000;  // of the 64 KiB that a transaction may take
 }  // namespace
 
 void Controller::route(const ExchangePtr& x) {
@@ -49,44 +51,128 @@
 
 void Controller::submit(const ExchangePtr& x) {
   ++count_users_;
-  job::JobRecord record;
-  std::string id;
+  auto s = std::make_shared<Submission>();
+  s->exchange = x;
+  wire::JobSpec spec;
   try {
-    auto spec = std::make_shared<wire::JobSpec>(wire::parse_job(x->body()));
-    id = spec->id;
-    record.spec = std::move(spec);
+    spec = wire::parse_job(x->body());
+  } catch (const wire::BadNeeds& e) {
+    if (synced_ && jobs_.contains(e.id)) return status(x, e.id);
+    return x->answer(400, wire::error_body(e.what()));
   } catch (const std::exception& e) {
     return x->answer(400, wire::error_body(e.what()));
   }
   if (!synced_) return retry(x, "starting");
-  if (jobs_.contains(id)) return status(x, id);
+  if (jobs_.contains(spec.id)) return status(x, spec.id);
   if (types_.empty()) return retry(x, "machine types not known yet");
-  if (const auto why = job::never_runs(*record.spec, types_, platform_.teams); !why.empty())
+  if (const auto why = job::never_runs(spec, types_, platform_.teams); !why.empty())
     return x->answer(422, wire::error_body(why));
   if (store_.crowded()) return x->answer(429, wire::error_body("over budget"), 2);
-  record.submitted = time_of_day();
-  wire::Json value = job::record_to_json(record);
-  if (value.dump().size() > platform_.value_bytes) return x->answer(400, wire::error_body("job too large"));
-  store_.commit({{kJob + id, 0}}, {{kJob + id, std::move(value), {}, false}}, store::Urgency::user,
-                [this, x, id, record](int code, std::uint64_t revision) mutable {
-                  if (code == 200) {
-                    record.version = revision;
-                    if (!jobs_.contains(id)) {
-                      jobs_[id] = record;
-                      feed_job(id, record);
-                      poke();
-                    }
-                    return x->answer(201, wire::status_body(id, JobStatus::queued));
-                  }
-                  if (code == 409) return status(x, id);
-                  retry(x, "state service");
-                });
+  job::keep_known_types(spec, types_);
+  s->record.spec = std::make_shared<const wire::JobSpec>(std::move(spec));
+  s->record.submitted = time_of_day();
+  check_needs(s);
+}
+
+/// Each needed job must have been accepted. What we don't know may have been accepted elsewhere just now:
+/// only the state service's word counts.
+void Controller::check_needs(const std::shared_ptr<Submission>& s) {
+  static const std::string kService = "a service that it needs can never be done";
+  const auto& needs = s->record.spec->needs;
+  for (; s->next_need < needs.size(); ++s->next_need) {
+    const std::string& id = needs[s->next_need];
+    if (auto it = jobs_.find(id); it != jobs_.end()) {
+      if (it->second.spec && it->second.spec->shape == wire::Shape::service)
+        return s->exchange->answer(422, wire::error_body(kService));
+      continue;
+    }
+    if (++s->asked > kMostLookUps) return retry(s->exchange, "too many jobs to look up at once");
+    store_.get(kJob + id, store::Urgency::user, [this, s, id](int code, const wire::Row& row) {
+      if (code == 404) return never_accepted(s, id);
+      if (code != 200) return retry(s->exchange, "state service");
+      try {
+        const auto needed = job::record_from_json(row.value, row.version);
+        if (needed.spec && needed.spec->shape == wire::Shape::service)
+          return s->exchange->answer(422, wire::error_body(kService));
+      } catch (const std::exception& e) {
+        spdlog::error("job record {}: {}", id, e.what());
+        return retry(s->exchange, "state service");
+      }
+      ++s->next_need;
+      check_needs(s);
+    });
+    return;
+  }
+  accept(s);
+}
+
+/// 422, unless this is a retry of what another node has accepted: that gets its state, whatever its list
+/// holds.
+void Controller::never_accepted(const std::shared_ptr<Submission>& s, const std::string& need) {
+  const std::string id = s->record.spec->id;
+  store_.get(kJob + id, store::Urgency::user, [this, s, id, need](int code, const wire::Row&) {
+    if (code == 200) return status(s->exchange, id);
+    if (code != 404) return retry(s->exchange, "state service");
+    s->exchange->answer(422, wire::error_body("it needs " + need + ", which was never accepted"));
+  });
+}
+
+void Controller::accept(const std::shared_ptr<Submission>& s) {
+  // The tag is new for each try: parts of a try that failed are never taken for this one's.
+  s->tag = platform_.name + "-" + std::to_string(time_of_day()) + "-" + std::to_string(++tags_);
+  s->rows = job::rows_of(s->record, platform_.value_room(), s->tag);
+  s->record.parts = static_cast<std::uint32_t>(s->rows.parts.size());
+  s->record.parts_tag = s->tag;
+  write_record(s);
+}
+
+/// The parts first, in as many transactions as they take; the job is accepted with the record.
+void Controller::write_record(const std::shared_ptr<Submission>& s) {
+  const std::string id = s->record.spec->id;
+  std::vector<wire::Guard> guards;
+  std::vector<wire::Write> writes;
+  std::size_t bytes = 0;
+  for (; s->next_part < s->rows.parts.size() && writes.size() < store_.txn_ops(); ++s->next_part) {
+    const std::string& part = s->rows.parts[s->next_part];
+    if (!writes.empty() && bytes + part.size() > kTransactionRoom) break;
+    bytes += part.size();
+    const std::string key = kPart + id + "/" + s->tag + "/" + std::to_string(s->next_part);
+    guards.push_back({key, 0});
+    writes.push_back({key, part, {}, false});
+  }
+  const bool last = writes.empty();
+  if (last) {
+    guards.push_back({kJob + id, 0});
+    writes.push_back({kJob + id, s->rows.value, {}, false});
+  }
+  store_.commit(
+      std::move(guards), std::move(writes), store::Urgency::user,
+      [this, s, id, last](int code, std::uint64_t revision) {
+        if (code == 200 && !last) return write_record(s);
+        if (code == 200) {
+          s->record.version = revision;
+          if (auto it = jobs_.find(id); it == jobs_.end() || (!it->second.final() && !it->second.spec)) {
+            set_job(id, s->record);
+            follow_graph();
+            poke();
+          }
+          return s->exchange->answer(
+              201, wire::status_body(id, graph_.doomed(id) ? JobStatus::withdrawn : JobStatus::queued));
+        }
+        // Without an answer the record may be there, and needs its parts.
+        if (code != 0) drop_parts(id, s->record);
+        if (code == 409 && last) return status(s->exchange, id);
+        retry(s->exchange, "state service");
+      });
 }
 
 void Controller::status(const ExchangePtr& x, const std::string& id) {
-  auto it = jobs_.find(id);
-  if (it != jobs_.end() && it->second.final())
-    return x->answer(200, wire::status_body(id, it->second.status));
+  if (auto it = jobs_.find(id); it != jobs_.end()) {
+    if (it->second.final()) return x->answer(200, wire::status_body(id, it->second.status));
+    // Told from the graph as soon as the cancellation above it is known; its own record follows.
+    if (graph_.doomed(id)) return x->answer(200, wire::status_body(id, JobStatus::withdrawn));
+    if (!it->second.spec || !it->second.spec->needs.empty()) return status_below(x, id);
+  }
   // What is not final may have become so elsewhere: only a fresh read may say that it has not.
   store_.get(kJob + id, store::Urgency::read, [this, x, id](int code, const wire::Row& row) {
     if (code == 404) return x->answer(404, wire::error_body("no such job"));
@@ -94,6 +180,7 @@
     try {
       const auto record = job::record_from_json(row.value, row.version);
       if (record.final()) return x->answer(200, wire::status_body(id, record.status));
+      if (!record.spec || !record.spec->needs.empty()) return status_below(x, id);
     } catch (const std::exception& e) {
       spdlog::error("job record {}: {}", id, e.what());
       return retry(x, "state service");
@@ -102,6 +189,20 @@
   });
 }
 
+/// A job that needs others may be withdrawn by a record far above it, and another node may have said so
+/// already: anything but a final state needs a fresh word on all of them, not on its own record alone.
+void Controller::status_below(const ExchangePtr& x, const std::string& id) {
+  fresh_jobs([this, x, id](bool ok) {
+    auto it = jobs_.find(id);
+    if (!ok || it == jobs_.end()) return retry(x, "state service");
+    if (it->second.final()) return x->answer(200, wire::status_body(id, it->second.status));
+    if (graph_.doomed(id)) return x->answer(200, wire::status_body(id, JobStatus::withdrawn));
+    if (!it->second.spec || !graph_.ready(id))
+      return x->answer(200, wire::status_body(id, JobStatus::queued, std::pair{0U, 0U}));
+    tell_status(x, id);
+  });
+}
+
 void Controller::tell_status(const ExchangePtr& x, const std::string& id) {
   auto it = jobs_.find(id);
   const int share = it != jobs_.end() && it->second.spec ? own_.share_of_team(it->second.spec->team) : -1;
@@ -129,6 +230,7 @@
   auto it = jobs_.find(id);
   if (it != jobs_.end() && it->second.final())
     return x->answer(200, wire::status_body(id, it->second.status));
+  if (graph_.doomed(id)) return x->answer(200, wire::status_body(id, JobStatus::withdrawn));
   if (!synced_ || tries == 0) return retry(x, "state service");
   store_.get(kJob + id, store::Urgency::user, [this, x, id, tries](int code, const wire::Row& row) {
     if (code == 404) return x->answer(404, wire::error_body("no such job"));
@@ -142,15 +244,18 @@
     }
     if (record.final()) return x->answer(200, wire::status_body(id, record.status));
     record.status = JobStatus::withdrawn;
+    if (auto known = jobs_.find(id); !record.spec && known != jobs_.end()) record.spec = known->second.spec;
     // `done` and `withdrawn` race by the guard: one of them finds the record changed.
-    store_.commit({{kJob + id, row.version}}, {{kJob + id, job::record_to_json(record), {}, false}},
+    store_.commit({{kJob + id, row.version}},
+                  {{kJob + id, job::withdrawn_value(record, platform_.value_room()), {}, false}},
                   store::Urgency::user,
                   [this, x, id, tries, record](int commit, std::uint64_t revision) mutable {
                     if (commit == 409) return withdraw(x, id, tries - 1);
                     if (commit != 200) return retry(x, "state service");
                     record.version = revision;
-                    jobs_[id] = record;
-                    feed_job(id, record);
+                    drop_parts(id, record);
+                    set_job(id, std::move(record));
+                    follow_graph();
                     // Ahead of the watch, which an outage may delay past the time a cancellation has.
                     peers_->broadcast(share::WithdrawnTell{id});
                     poke();
--- a/src/job/record.cpp
+++ b/src/job/record.cpp
@@ -15,10 +15,72 @@
 wire::Json record_to_json(const JobRecord& r) {
   static constexpr const char* kNames[] = {"queued", "running", "done", "withdrawn"};
   wire::Json j{{"st", kNames[static_cast<int>(r.status)]}, {"at", r.submitted}};
+  if (r.finished > 0) j["fin"] = r.finished;
   if (r.spec && r.status != JobStatus::done) j["spec"] = wire::job_to_json(*r.spec);
   return j;
 }
 
+RecordRows rows_of(const JobRecord& r, std::size_t limit, const std::string& tag) {
+  RecordRows out{record_to_json(r), {}};
+  if (out.value.dump().size() <= limit) return out;
+  // In ASCII it may be cut anywhere; what it takes inside a JSON string is counted.
+  const std::string text = out.value.at("spec").dump(-1, ' ', true);
+  std::size_t size = limit;
+  for (const char c : text) {
+    const std::size_t takes = c == '"' || c == '\\' ? 2 : 1;
+    if (size + takes + 2 > limit) out.parts.emplace_back(), size = 0;
+    out.parts.back().push_back(c);
+    size += takes;
+  }
+  out.value.erase("spec");
+  out.value["parts"] = out.parts.size();
+  out.value["tag"] = tag;
+  return out;
+}
+
+std::shared_ptr<const JobSpec> spec_from_parts(const std::vector<std::string>& parts) {
+  std::string text;
+  for (const auto& p : parts) text += p;
+  return std::make_shared<const JobSpec>(wire::job_from_json(wire::Json::parse(text)));
+}
+
+wire::Json withdrawn_value(const JobRecord& r, std::size_t limit) {
+  JobRecord w = r;
+  w.status = JobStatus::withdrawn;
+  if (!w.spec) return record_to_json(w);
+  wire::JobSpec spec = *w.spec;
+  spec.types.reset();
+  spec.needs.clear();
+  if (spec.image.size() + spec.job_class.size() > limit / 16) spec.image.clear(), spec.job_class = spec.team;
+  w.spec = std::make_shared<const JobSpec>(std::move(spec));
+  return record_to_json(w);
+}
+
+std::vector<wire::Json> types_rows(const std::vector<wire::MachineType>& types, std::size_t limit) {
+  std::vector<wire::Json> rows{wire::types_to_json(types)};
+  if (rows[0].dump().size() <= limit) return rows;
+  rows.clear();
+  std::vector<wire::MachineType> some;
+  for (const auto& t : types) {
+    some.push_back(t);
+    if (some.size() == 1 || wire::types_to_json(some).dump().size() + 16 <= limit) continue;
+    some.pop_back();
+    rows.push_back(wire::types_to_json(some));
+    some = {t};
+  }
+  rows.push_back(wire::types_to_json(some));
+  for (auto& r : rows) r["rows"] = rows.size();
+  return rows;
+}
+
+void keep_known_types(JobSpec& spec, const std::vector<wire::MachineType>& types) {
+  if (!spec.types) return;
+  std::vector<std::string> kept;
+  for (const auto& t : types)
+    if (type_allowed(spec, t)) kept.push_back(t.name);
+  spec.types = std::move(kept);
+}
+
 JobRecord record_from_json(const wire::Json& j, std::uint64_t version) {
   JobRecord r;
   r.version = version;
@@ -27,7 +89,12 @@
              : status == "withdrawn" ? JobStatus::withdrawn
                                      : JobStatus::queued;
   r.submitted = j.at("at").get<Micros>();
-  if (r.status != JobStatus::done && (!r.final() || j.contains("spec")))
+  if (auto it = j.find("fin"); it != j.end() && it->is_number_integer()) r.finished = it->get<Micros>();
+  if (auto it = j.find("parts"); it != j.end()) {
+    r.parts = it->get<std::uint32_t>();
+    r.parts_tag = j.at("tag").get<std::string>();
+  }
+  if (r.status != JobStatus::done && ((!r.final() && r.parts == 0) || j.contains("spec")))
     r.spec = std::make_shared<const JobSpec>(wire::job_from_json(j.at("spec")));
   return r;
 }
@@ -39,9 +106,8 @@
   return true;
 }
 
-std::string DoneSet::chunk_text(std::uint32_t chunk) const {
-  const std::size_t from = std::size_t{chunk} * kChunk,
-                    to = std::min<std::size_t>(bits_.size(), from + kChunk);
+std::string DoneSet::text(std::size_t from, std::size_t tasks) const {
+  const std::size_t to = std::min<std::size_t>(bits_.size(), from + tasks);
   std::string out;
   for (std::size_t i = from; i < to; i += 4) {
     unsigned v = 0;
@@ -52,10 +118,10 @@
   return out;
 }
 
-void DoneSet::merge_chunk(std::uint32_t chunk, const std::string& text) {
-  for (std::size_t c = 0; c < text.size() && c < kChunk / 4; ++c)
+void DoneSet::merge(std::uint32_t n, std::uint32_t tasks, const std::string& text) {
+  for (std::size_t c = 0; c < text.size() && c < tasks / 4; ++c)
     for (unsigned b = 0; b < 4; ++b)
-      if ((hex_value(text[c]) >> b) & 1) set(static_cast<std::uint32_t>(chunk * kChunk + c * 4 + b));
+      if ((hex_value(text[c]) >> b) & 1) set(static_cast<std::uint32_t>(std::size_t{n} * tasks + c * 4 + b));
 }
 
 bool type_allowed(const JobSpec& spec, const wire::MachineType& type) {
--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -76,13 +76,15 @@
 struct Job {
   std::shared_ptr<const JobSpec> spec;
   std::string id;
-  Micros submitted = 0;  // on the steady clock
+  Micros submitted = 0, ready = 0;    // on the steady clock; ready: since nothing that it needs is missing
+  wire::Rank rank = wire::Rank::low;  // its own, or of a job that needs it
+  std::optional<Micros> finish_by;    // its deadline, or for what follows
   std::uint64_t version = 0;
   bool fresh = false;  // accepted after our takeover: nothing of it can run yet
   bool withdrawn = false, finished = false, committing = false;
-  DoneSet done, recorded;
-  std::vector<std::uint64_t> chunk_versions;
-  std::set<std::uint32_t> dirty, in_flight;
+  DoneSet done, recorded, recorded_whole;  // recorded_whole: in rows that every version reads
+  std::map<std::uint32_t, std::uint64_t> row_versions;
+  std::set<std::uint32_t> dirty, in_flight;     // units with unrecorded results; rows being written
   std::map<std::uint32_t, std::string> active;  // task -> machine
   std::set<std::uint32_t> again;
   std::uint32_t cursor = 0;
--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -34,8 +34,11 @@
 }
 
 Micros Placer::slack(const Job& j, Micros now) const {
-  if (j.spec->deadline) return j.submitted + *j.spec->deadline - j.spec->estimate - now;
-  return j.submitted + start_within(j) - now;
+  const Micros to_start = j.ready + start_within(j) - now;
+  if (!j.finish_by) return to_start;
+  const Micros to_finish = *j.finish_by - j.spec->estimate - now;
+  // Hurried by what follows only, its own class's objective holds as well.
+  return j.spec->deadline ? to_finish : std::min(to_finish, to_start);
 }
 
 std::vector<Job*> Placer::ordered_jobs(Micros now) const {
@@ -51,11 +54,11 @@
     const Micros left = slack(*j, now);
     // Once a deadline can no longer be kept, the job makes way for those that still can: by deadline alone,
     // all jobs of an overloaded hour would be late together. Of the late ones, the shortest first.
-    const bool late = j->spec->deadline && left < 0;
+    const bool late = j->finish_by && left < 0;
     list.push_back({j.get(), guaranteed, late, left});
   }
   const auto before = [](const Entry& a, const Entry& b) {
-    if (a.job->spec->rank != b.job->spec->rank) return a.job->spec->rank > b.job->spec->rank;
+    if (a.job->rank != b.job->rank) return a.job->rank > b.job->rank;
     if (a.guaranteed != b.guaranteed) return a.guaranteed;
     if (a.late != b.late) return b.late;
     if (a.slack != b.slack) return a.slack < b.slack;
@@ -67,12 +70,12 @@
   // little.
   double low_slots = 0;
   for (const auto& [id, j] : picture_.jobs)
-    if (j->spec->rank == Rank::low && j->spec->shape == Shape::array)
+    if (j->rank == Rank::low && j->spec->shape == Shape::array)
       low_slots += static_cast<double>(j->active.size());
   double work = 0;
   std::vector<std::pair<Entry*, double>> kept;
   for (Entry& e : list) {
-    if (e.late || !e.job->spec->deadline || e.job->spec->rank != Rank::low || low_slots < 1) continue;
+    if (e.late || !e.job->finish_by || e.job->rank != Rank::low || low_slots < 1) continue;
     kept.emplace_back(&e, e.job->waiting() * run_time(*e.job));
     work += kept.back().second;
     while (work / low_slots > to_seconds(e.slack) && !kept.empty()) {
@@ -112,7 +115,7 @@
   if (!m.type || !m.up || !m.accounted || m.leaving || m.taken_at || m.suspect_until > now) return false;
   if (m.drain_until > now) return false;
   // Room that is being made bit by bit must not be filled again from below.
-  if (m.held_until > now && j.spec->rank < m.held_for) return false;
+  if (m.held_until > now && j.rank < m.held_for) return false;
   if (m.record.spot && !j.spec->spot) return false;
   if (j.spec->zone && *j.spec->zone != m.record.zone) return false;
   if (!job::type_allowed(*j.spec, *m.type)) return false;
@@ -123,7 +126,7 @@
   // Machines for GPU work take other work only if it can make way at once: what stays, or outranks GPU work,
   // would keep a dear machine rented for a few CPUs.
   if (j.spec->need.gpus == 0 && gpu_wanted_[m.type_index] &&
-      (j.spec->rank > Rank::low || j.spec->shape != Shape::array))
+      (j.rank > Rank::low || j.spec->shape != Shape::array))
     return false;
   return j.spec->need.fits_in(free);
 }
@@ -149,8 +152,8 @@
 /// GPUs elsewhere it waits, rather than settle on a dear one; where plain machines are all taken, longer
 /// would be in vain.
 bool Placer::await_plain(const Job& j, Micros now) const {
-  if (j.spec->rank != Rank::production || j.spec->need.gpus > 0) return false;
-  if (now - j.submitted >= std::min(start_within(j) / 2, kAwaitPlain)) return false;
+  if (j.rank != Rank::production || j.spec->need.gpus > 0) return false;
+  if (now - j.ready >= std::min(start_within(j) / 2, kAwaitPlain)) return false;
   return std::any_of(types_.begin(), types_.end(),
                      [&](const auto& t) { return t.total.gpus == 0 && job::type_allowed(*j.spec, t); });
 }
@@ -259,7 +262,7 @@
 /// Stops lower ranks on as many machines of one zone as the whole gang needs, or on none.
 bool Placer::make_gang_room(Job& j, Micros now) {
   if (!j.active.empty() || !quota_.within_limit(j, j.spec->tasks)) return false;
-  auto below = [&](const Placed& p) { return p.job && p.job->spec->rank < j.spec->rank; };
+  auto below = [&](const Placed& p) { return p.job && p.job->rank < j.rank; };
   auto room_of = [&](const Machine& m) {
     Resources room = m.free;
     for (const auto& [key, p] : m.tasks)
@@ -288,7 +291,7 @@
     if (missing <= 0) break;
     Machine& m = *c.machine;
     missing -= c.slots;
-    m.held_for = j.spec->rank;
+    m.held_for = j.rank;
     m.held_until = now + kHoldRoom;
     for (auto& [key, p] : m.tasks) {
       if (slots(j, m, m.free) >= c.slots || p.halting || !below(p)) continue;
@@ -305,7 +308,7 @@
 bool Placer::make_room(Job& j, Micros now) {
   std::int64_t missing = j.waiting();
   const bool guaranteed = quota_.within_guarantee(j);
-  if (guaranteed && j.spec->rank < Rank::high) {  // others' work is stopped for the guaranteed part only
+  if (guaranteed && j.rank < Rank::high) {  // others' work is stopped for the guaranteed part only
     const auto& g = quota_.team(j.spec->team)->guaranteed;
     const auto& use = picture_.team_use[j.spec->team];
     missing = std::min(missing, j.spec->need.gpus > 0 ? (g.gpus - use.gpus) / j.spec->need.gpus
@@ -332,10 +335,10 @@
     }
     std::vector<Placed*> low;
     for (auto& [key, p] : m.tasks)
-      if (p.job && !p.halting && (p.job->spec->rank < j.spec->rank || (guaranteed && quota_.borrowed(j, p))))
+      if (p.job && !p.halting && (p.job->rank < j.rank || (guaranteed && quota_.borrowed(j, p))))
         low.push_back(&p);
     std::sort(low.begin(), low.end(), [](const Placed* a, const Placed* b) {
-      return std::pair{a->job->spec->rank, -a->started} < std::pair{b->job->spec->rank, -b->started};
+      return std::pair{a->job->rank, -a->started} < std::pair{b->job->rank, -b->started};
     });
     std::vector<Placed*> victims;
     double loss = 0;
@@ -350,7 +353,7 @@
     if (!best || loss < best_loss) best = &m, best_victims = victims, best_loss = loss;
   }
   if (!best) return false;
-  best->held_for = j.spec->rank;
+  best->held_for = j.rank;
   best->held_until = now + kHoldRoom;
   for (Placed* p : best_victims) {
     spdlog::debug("preempt {}/{} on {} for {}", p->job_id, p->index, best->record.id, j.id);
@@ -367,7 +370,7 @@
   for (Job* j : ordered_jobs(now)) {
     if (!place_allowed(*j) || now < j->not_before) continue;
     if (j->spec->shape == Shape::gang) {
-      if (place_gang(*j, now) || !j->active.empty() || j->spec->rank == Rank::low) continue;
+      if (place_gang(*j, now) || !j->active.empty() || j->rank == Rank::low) continue;
       if (!make_gang_room(*j, now) && j->spec->tasks == 1) make_room(*j, now);  // of what others borrowed
       continue;
     }
@@ -380,8 +383,8 @@
     };
     // Production rather displaces lower ranks than stay on a dear machine. What is done soon takes dear room
     // that is there anyway: displaced work is lost.
-    const bool may_displace = j->spec->rank >= Rank::high || quota_.within_guarantee(*j);
-    const bool stays = j->spec->rank == Rank::production;
+    const bool may_displace = j->rank >= Rank::high || quota_.within_guarantee(*j);
+    const bool stays = j->rank == Rank::production;
     if (place(stays) || !may_displace) continue;
     bool coming = false;
     for (std::uint32_t i = 0; i < j->waiting() && i < 8 && make_room(*j, now); ++i) coming = true;
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 
 namespace aspenwick::share {
@@ -94,21 +95,45 @@
   j->id = id;
   j->version = record.version;
   j->submitted = now - std::max<Micros>(0, time_of_day - record.submitted);
+  j->ready = j->submitted;
+  j->rank = record.spec->rank;
+  if (record.spec->deadline) j->finish_by = j->submitted + *record.spec->deadline;
   j->fresh = fresh;
   note_gpu_job(*record.spec);
   j->done = DoneSet(record.spec->tasks);
-  j->recorded = j->done;
-  j->chunk_versions.assign(j->done.chunks(), 0);
+  j->recorded = j->recorded_whole = j->done;
   picture_.jobs.emplace(id, std::move(j));
 }
 
-void Holder::load_done(const std::string& job, std::uint32_t chunk, const std::string& text,
+void Holder::set_course(const std::string& id, const job::Course& course, Micros now, Micros time_of_day) {
+  auto it = picture_.jobs.find(id);
+  if (it == picture_.jobs.end()) return;
+  Job& j = *it->second;
+  j.rank = course.rank;
+  j.ready = std::max(j.submitted, now - std::max<Micros>(0, time_of_day - course.ready));
+  j.finish_by.reset();
+  if (course.finish_by) j.finish_by = now + (*course.finish_by - time_of_day);
+}
+
+void Holder::merge_row(Job& j, std::uint32_t row, const std::string& text) {
+  if (row >= kUnitRows) {
+    j.recorded.merge_unit(row - kUnitRows, text);
+  } else {
+    j.recorded.merge_chunk(row, text);
+    j.recorded_whole.merge_chunk(row, text);
+  }
+}
+
+void Holder::load_done(const std::string& job, std::uint32_t row, const std::string& text,
                        std::uint64_t version) {
   auto it = picture_.jobs.find(job);
-  if (it == picture_.jobs.end() || chunk >= it->second->chunk_versions.size()) return;
-  it->second->done.merge_chunk(chunk, text);
-  it->second->recorded.merge_chunk(chunk, text);
-  it->second->chunk_versions[chunk] = version;
+  if (it == picture_.jobs.end()) return;
+  Job& j = *it->second;
+  if (row >= kUnitRows ? row - kUnitRows >= j.done.chunks() * DoneSet::kUnitsInChunk : row >= j.done.chunks())
+    return;
+  row >= kUnitRows ? j.done.merge_unit(row - kUnitRows, text) : j.done.merge_chunk(row, text);
+  merge_row(j, row, text);
+  j.row_versions[row] = version;
 }
 
 void Holder::loaded(Micros now) {
@@ -194,8 +219,7 @@
     p->second.fence = 0;
     if (t.state == TaskState::running && p->second.run_since == 0) {
       p->second.run_since = now;
-      if (p->second.job && p->second.phase != Phase::running)
-        waits_.push_back(now - p->second.job->submitted);
+      if (p->second.job && p->second.phase != Phase::running) waits_.push_back(now - p->second.job->ready);
     }
     if (t.state != TaskState::fetching && p->second.phase != Phase::running && p->second.job)
       m.used_image(*p->second.job->spec);
@@ -268,7 +292,7 @@
   const bool ours = p != m.tasks.end() && p->second.attempt == t.attempt;
   if (t.cause == Cause::done && j && t.index < j->spec->tasks) {
     if (j->done.set(t.index)) {
-      j->dirty.insert(t.index / DoneSet::kChunk);
+      j->dirty.insert(t.index / DoneSet::kUnit);
       j->again.erase(t.index);
       if (ours) task_done(*j, m, p->second, now);
     }
@@ -285,7 +309,7 @@
       }
     }
     // The result is forgotten only once it is recorded, or a crash here would lose it.
-    if (j->recorded.test(t.index) || j->finished || j->withdrawn)
+    if (surely_recorded(*j, t.index) || j->finished || j->withdrawn)
       m.forgets.push_back({Order::Verb::forget, t.job, t.index, t.attempt, 0});
     picture_.erase_if_over(t.job);
     return;
@@ -471,26 +495,59 @@
   });
   for (Job* j : dirty) {
     for (auto it = j->dirty.begin(); it != j->dirty.end() && out.size() < most;) {
-      if (j->in_flight.contains(*it)) {
+      // A whole chunk while its text fits a value, as all versions read it; after that unit by unit, and the
+      // chunk's row stays as it is: shortened, it would lose what it alone holds.
+      const std::uint32_t chunk = *it / DoneSet::kUnitsInChunk;
+      std::string text = j->done.chunk_text(chunk);
+      const bool whole = text.size() + 2 <= platform_.value_room();
+      const std::uint32_t row = whole ? chunk : kUnitRows + *it;
+      if (!whole) text = j->done.unit_text(*it);
+      if (j->in_flight.contains(row)) {
         ++it;
         continue;
       }
-      out.push_back({j->id, *it, j->done.chunk_text(*it), j->chunk_versions[*it]});
-      j->in_flight.insert(*it);
-      it = j->dirty.erase(it);
+      out.push_back({j->id, row, std::move(text), j->row_versions[row]});
+      j->in_flight.insert(row);
+      const auto next = whole ? j->dirty.lower_bound((chunk + 1) * DoneSet::kUnitsInChunk) : std::next(it);
+      it = j->dirty.erase(it, next);
     }
   }
   return out;
 }
 
+bool Holder::surely_recorded(const Job& j, std::uint32_t index) const {
+  return j.recorded_whole.test(index) || (all_read_units_ && j.recorded.test(index));
+}
+
+std::string Holder::row_name(std::uint32_t row) {
+  std::string name = row >= kUnitRows ? "u/" : "";
+  return name += std::to_string(row >= kUnitRows ? row - kUnitRows : row);
+}
+
+std::optional<std::pair<std::string, std::uint32_t>> Holder::parse_row_name(const std::string& name) {
+  auto slash = name.rfind('/');
+  std::uint32_t n = 0;
+  if (slash == std::string::npos) return {};
+  const char* end = name.data() + name.size();
+  if (auto [p, ec] = std::from_chars(name.data() + slash + 1, end, n);
+      ec != std::errc{} || p != end || n >= kUnitRows)
+    return {};
+  if (!name.substr(0, slash).ends_with("/u")) return std::pair{name.substr(0, slash), n};
+  return std::pair{name.substr(0, slash - 2), n + kUnitRows};
+}
+
 void Holder::done_written(const DoneWrite& w, bool ok, std::uint64_t version) {
   auto it = picture_.jobs.find(w.job);
   if (it == picture_.jobs.end()) return;
   Job& j = *it->second;
-  j.in_flight.erase(w.chunk);
-  if (!ok) j.dirty.insert(w.chunk);
-  j.chunk_versions[w.chunk] = version;
-  if (ok) j.recorded.merge_chunk(w.chunk, w.text);
+  j.in_flight.erase(w.row);
+  j.row_versions[w.row] = version;
+  if (ok) return merge_row(j, w.row, w.text);
+  if (w.row >= kUnitRows) j.dirty.insert(w.row - kUnitRows);
+  for (std::uint32_t u = 0; w.row < kUnitRows && u < DoneSet::kUnitsInChunk; ++u) {
+    const std::uint32_t unit = w.row * DoneSet::kUnitsInChunk + u;
+    if (j.done.unit_text(unit) != j.recorded.unit_text(unit)) j.dirty.insert(unit);
+  }
 }
 
 std::vector<std::string> Holder::complete_jobs() const {
@@ -505,8 +562,8 @@
   std::vector<std::string> out;
   auto it = picture_.jobs.find(job);
   if (it == picture_.jobs.end()) return out;
-  for (std::size_t c = 0; c < it->second->chunk_versions.size(); ++c)
-    if (it->second->chunk_versions[c] != 0) out.push_back(job + "/" + std::to_string(c));
+  for (const auto& [row, version] : it->second->row_versions)
+    if (version != 0) out.push_back(job + "/" + row_name(row));
   return out;
 }
 
@@ -533,7 +590,7 @@
     return;
   }
   for (const auto& [key, p] : m.tasks)
-    if (!p.job || p.job->spec->rank >= rank) return;
+    if (!p.job || p.job->rank >= rank) return;
   spdlog::info("machine {}: {} tasks stopped to give it to share {}", machine, m.tasks.size(), to);
   m.drain_to = to;
   m.drain_until = now + kDrainFor;
@@ -612,7 +669,7 @@
         if (closed) d.closed_zones |= 1U << z;
       }
     }
-    d.rank = j->spec->rank;
+    d.rank = j->rank;
     d.shape = j->spec->shape;
     d.spot = j->spec->spot;
     d.waiting = static_cast<std::uint32_t>(waiting);
@@ -640,7 +697,7 @@
   // What runs of low arrays that have nothing waiting: its machines are free for others soon.
   Demand busy;
   for (const auto& [id, j] : picture_.jobs) {
-    if (j->spec->shape != Shape::array || j->spec->rank >= Rank::high || j->waiting() > 0) continue;
+    if (j->spec->shape != Shape::array || j->rank >= Rank::high || j->waiting() > 0) continue;
     busy.running += static_cast<std::uint32_t>(j->active.size());
     busy.need += j->spec->need * static_cast<std::int64_t>(j->active.size());
   }
@@ -672,7 +729,7 @@
                              std::clamp<Micros>((now - m.gpu_idle_since) / kMillisecond, 0, 3'600'000));
     }
     for (const auto& [key, p] : m.tasks)
-      s.top_rank = std::max(s.top_rank, p.job ? p.job->spec->rank : Rank::production);
+      s.top_rank = std::max(s.top_rank, p.job ? p.job->rank : Rank::production);
     out.push_back(std::move(s));
   }
   return out;
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-#include "job/record.h"
+#include "job/graph.h"
 #include "place/placer.h"
 #include "wire/settings.h"
 
@@ -80,7 +80,11 @@
   void job_known(const std::string& id, const JobRecord& record, bool fresh, Micros now, Micros time_of_day);
   /// Any share's job: which machine types its GPU tasks can use.
   void note_gpu_job(const JobSpec& spec) { placer_.note_gpu_job(spec); }
-  void load_done(const std::string& job, std::uint32_t chunk, const std::string& text, std::uint64_t version);
+  /// Its priority and when it must be done, as those that need it grant and want.
+  void set_course(const std::string& id, const job::Course& course, Micros now, Micros time_of_day);
+  void load_done(const std::string& job, std::uint32_t row, const std::string& text, std::uint64_t version);
+  /// Every controller reads rows of single units: what only those hold may be forgotten by the workers.
+  void set_all_read_units(bool on) { all_read_units_ = on; }
   void loaded(Micros now);  // all jobs, done-sets and machines of the share were told
   /// `handed_empty`: recorded after our takeover, so it was handed over empty.
   void machine_known(const MachineRecord& record, bool handed_empty, Micros now);
@@ -108,11 +112,16 @@
   // ---- what is to be recorded
   struct DoneWrite {
     std::string job;
-    std::uint32_t chunk = 0;
+    std::uint32_t row = 0;  // a chunk; from kUnitRows on a unit
     std::string text;
     std::uint64_t version = 0;  // guard
   };
   std::vector<DoneWrite> done_writes(std::size_t most);
+  static constexpr std::uint32_t kUnitRows = 1U << 16;
+  /// A progress row's name below its job, and back: "<job>/<chunk>" or "<job>/u/<unit>". The first version
+  /// takes the latter for a job that it doesn't know.
+  static std::string row_name(std::uint32_t row);
+  static std::optional<std::pair<std::string, std::uint32_t>> parse_row_name(const std::string& name);
   void done_written(const DoneWrite& w, bool ok, std::uint64_t version);
   std::vector<std::string> complete_jobs() const;  // all tasks done, status not yet committed
   std::vector<std::string> done_keys(const std::string& job) const;
@@ -160,6 +169,8 @@
   std::vector<Order> take_orders(Machine& m, bool by_push, std::uint64_t answer_seq, bool may_start,
                                  Micros now);
   void check_rebuilt(Micros now);
+  static void merge_row(Job& j, std::uint32_t row, const std::string& text);
+  bool surely_recorded(const Job& j, std::uint32_t index) const;
 
   const wire::PlatformSettings& platform_;
   const std::vector<wire::MachineType>& types_;
@@ -167,7 +178,7 @@
   std::uint64_t epoch_;
   Micros renewable_until_;
   JobLookup lookup_;
-  bool loaded_ = false;
+  bool loaded_ = false, all_read_units_ = false;
   std::vector<Micros> waits_;
   place::Picture picture_;
   place::Placer placer_;
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -165,6 +165,22 @@
                          }});
 }
 
+void Client::changes(const std::string& prefix, std::uint64_t since, Listed done) {
+  submit(Urgency::read,
+         {EVHTTP_REQ_GET, "/changes?under=" + prefix + "&since=" + std::to_string(since) + "&holdMs=0", "", 0,
+          kDeadline, 0, [done = std::move(done)](int status, const std::string& body) {
+            if (status != 200) return done(false, {}, 0);
+            wire::Page page;
+            try {
+              page = wire::parse_changes(body);
+            } catch (const std::exception& e) {
+              spdlog::error("state service: {}", e.what());
+              return done(false, {}, 0);
+            }
+            done(true, std::move(page.rows), page.revision);
+          }});
+}
+
 void Client::grant(Micros life, std::function<void(int, std::uint64_t)> done) {
   submit(Urgency::now, {EVHTTP_REQ_POST, "/grants", wire::lease_body(life), 0, kLeaseDeadline, 0,
                         [done = std::move(done)](int status, const std::string& body) {
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -42,6 +42,10 @@
   void get(const std::string& key, Urgency urgency, Got done);
   using Listed = std::function<void(bool ok, std::vector<wire::Row> rows, std::uint64_t revision)>;
   void list(const std::string& prefix, Listed done);
+  /// All that changed under the prefix since a revision, up to a moment after the call: a fresh read of it.
+  void changes(const std::string& prefix, std::uint64_t since, Listed done);
+  /// All changes up to here were told by the watch.
+  std::uint64_t watched() const { return watch_revision_; }
 
   void grant(Micros life, std::function<void(int status, std::uint64_t lease)> done);
   void renew(std::uint64_t lease, std::function<void(int status)> done);
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -123,6 +123,16 @@
   s.state_write_rps = state.number("write_rps", 1);
   s.value_bytes = static_cast<std::size_t>(state.number("value_kb", 1) * 1024);
   s.txn_ops = static_cast<std::size_t>(state.number("txn_ops", 2));
+  if (state.has("next")) {
+    // Limits to come, without notice: the smaller of each is kept to from now on. What isn't said stays.
+    const Reader next = state.object("next");
+    if (next.has("rps")) s.state_rps = std::min(s.state_rps, next.number("rps", 1));
+    if (next.has("write_rps")) s.state_write_rps = std::min(s.state_write_rps, next.number("write_rps", 1));
+    if (next.has("value_kb"))
+      s.value_bytes = std::min(s.value_bytes, static_cast<std::size_t>(next.number("value_kb", 1) * 1024));
+    if (next.has("txn_ops"))
+      s.txn_ops = std::min(s.txn_ops, static_cast<std::size_t>(next.number("txn_ops", 2)));
+  }
   const Reader cloud = params.object("cloud");
   s.cloud_rps = cloud.number("rps", 0.1);
   s.list_lag = cloud.seconds("list_lag_s");
--- a/src/wire/settings.h
+++ b/src/wire/settings.h
@@ -37,8 +37,11 @@
   std::vector<Team> teams;  // by name
   std::vector<Objective> objectives;
   Micros report = 0, worker_lease = 0, gang_wait = 0, gang_peer = 0, cancel = 0;
-  double state_rps = 0, state_write_rps = 0, cloud_rps = 0;
+  double state_rps = 0, state_write_rps = 0,
+         cloud_rps = 0;  // the state service's: now or to come, the smaller
   std::size_t value_bytes = 0, txn_ops = 0;
+  /// What we let a value take: the service may write JSON with more spaces and escapes than we do.
+  std::size_t value_room() const { return value_bytes - value_bytes / 8; }
   Micros list_lag = 0;
   int sockets = 0;
   Micros clock_error = 0;
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <set>
 
 namespace aspenwick::wire {
 namespace {
@@ -147,6 +148,15 @@
   s.checkpoint_every = from_seconds(amount(j, "snapshotEveryS"));
   s.save_time = from_seconds(amount(j, "snapshotS"));
   if (optional_field(j, "dueS")) s.deadline = from_seconds(amount(j, "dueS"));
+  if (const Json* needs = optional_field(j, "waitsOn")) {
+    if (!needs->is_array()) throw BadNeeds("not a list: waitsOn", s.id);
+    std::set<std::string> seen;
+    for (const Json& n : *needs) {
+      if (!n.is_string() || !valid_job_id(n.get_ref<const std::string&>()))
+        throw BadNeeds("bad entry: waitsOn", s.id);
+      if (seen.insert(n.get<std::string>()).second) s.needs.push_back(n.get<std::string>());
+    }
+  }
   return s;
 }
 
@@ -172,6 +182,7 @@
   if (s.types) j["rigtypes"] = *s.types;
   if (s.zone) j["site"] = *s.zone;
   if (s.deadline) j["dueS"] = to_seconds(*s.deadline);
+  if (!s.needs.empty()) j["waitsOn"] = s.needs;
   return j;
 }
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -59,6 +59,12 @@
   bool one_zone = false, spread = false, spot = false;
   Micros estimate = 0, checkpoint_every = 0, save_time = 0;
   std::optional<Micros> deadline;
+  std::vector<std::string> needs;  // jobs that must be done first, each once
+};
+/// The list of needed jobs is no list of job ids. A retry of an accepted job gets its state all the same.
+struct BadNeeds : Malformed {
+  BadNeeds(const std::string& why, std::string job) : Malformed(why), id(std::move(job)) {}
+  std::string id;
 };
 
 bool valid_job_id(const std::string& id);
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -172,7 +172,7 @@
       for (const auto& s : holder_->describe()) out_.push_back(s);
     } else if (event == "record") {
       for (const auto& w : holder_->done_writes(10)) {
-        out_.push_back("write done " + w.job + " chunk " + std::to_string(w.chunk) + " " + w.text +
+        out_.push_back("write done " + w.job + " chunk " + Holder::row_name(w.row) + " " + w.text +
                        " if version " + std::to_string(w.version));
         holder_->done_written(w, key("ok", "yes") == "yes", static_cast<std::uint64_t>(number("version", 8)));
       }
