--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -36,6 +36,22 @@
   EXPECT_EQ(complaint("/siblings", 3), "settings: not a list: siblings");
 }
 
+TEST(PlatformSettings, LimitsToComeAreKeptToFromTheStart) {
+  auto j = testing::settings_json();
+  auto& state = j["params"]["state"];
+  for (const auto& next : {wire::Json(), wire::Json::object()}) {
+    state["next"] = next;  // absent in part or whole: the present limits stand
+    EXPECT_EQ(wire::parse_settings(j.dump()).txn_ops, 20U);
+    EXPECT_EQ(wire::parse_settings(j.dump()).value_bytes, 16U * 1024);
+  }
+  state["next"] = {{"value_kb", 2.0}, {"txn_ops", 6}, {"write_rps", 30}};
+  const auto s = wire::parse_settings(j.dump());
+  EXPECT_EQ(s.value_bytes, 2U * 1024);
+  EXPECT_EQ(s.txn_ops, 6U);
+  EXPECT_DOUBLE_EQ(s.state_write_rps, 25);  // the smaller of the two
+  EXPECT_DOUBLE_EQ(s.state_rps, 80);
+}
+
 TEST(OperatorSettings, DefaultsStandAndKeysAreChecked) {
   EXPECT_DOUBLE_EQ(app::parse_operator_settings("").rnn.memory, 0.8);
   const auto s =
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -36,7 +36,9 @@
       else
         keys_[w.substr(0, eq)] = w.substr(eq + 1);
     }
-    if (!holder_event(event) && !ownership_event(event)) out_.push_back("unknown event");
+    if (!holder_event(event) && !ownership_event(event) && !graph_event(event))
+      out_.push_back("unknown event");
+    follow_graph();
     return out_;
   }
 
@@ -98,7 +100,7 @@
 
   bool holder_event(const std::string& event) {
     if (event == "hold") {
-      jobs_.clear();
+      if (!pipelines_) jobs_.clear();
       HolderSettings s;
       s.rnn.round_robin = 0;
       holder_ = std::make_unique<Holder>(
@@ -127,12 +129,32 @@
       JobRecord r;
       r.spec = std::make_shared<JobSpec>(wire::job_from_json(j));
       r.submitted = kWallClock;
+      if (pipelines_) {
+        r.submitted = wall();
+        r.version = static_cast<std::uint64_t>(number("version", 1));
+        auto spec = *r.spec;
+        spec.job_class = key("class", "batch");
+        std::istringstream needs(key("needs", ""));
+        for (std::string n; std::getline(needs, n, ',');) spec.needs.push_back(n);
+        spec.estimate = from_seconds(number("guess", 30));
+        r.spec = std::make_shared<JobSpec>(spec);
+        jobs_[words_.at(0)] = r;
+        graph_.update(words_.at(0), r);
+        if (holder_ && graph_.ready(words_.at(0)) && key("elsewhere", "no") == "no")
+          holder_->job_known(words_.at(0), r, key("fresh", "yes") == "yes", now_, wall());
+        return true;
+      }
       jobs_[words_.at(0)] = r;
       holder_->job_known(words_.at(0), r, key("fresh", "yes") == "yes", now_, kWallClock);
     } else if (event == "withdrawn" || event == "finished") {
       JobRecord& r = jobs_.at(words_.at(0));
       r.status = event == "finished" ? wire::JobStatus::done : wire::JobStatus::withdrawn;
+      if (event == "finished" && keys_.contains("at"))
+        r.finished = kWallClock + from_seconds(number("at", 0));
+      r.version = static_cast<std::uint64_t>(number("version", 2));
+      graph_.update(words_.at(0), r);
       r.spec.reset();
+      if (!holder_) return true;
       holder_->job_known(words_.at(0), r, false, now_, kWallClock);
     } else if (event == "machine") {
       MachineRecord m;
@@ -185,6 +207,45 @@
     return true;
   }
 
+  Micros wall() const { return kWallClock + now_ - kStart; }
+
+  /// What the graph of jobs says: whom it lets start, what it makes of priority and deadline, who is
+  /// withdrawn.
+  bool graph_event(const std::string& event) {
+    if (event == "pipelines") {
+      pipelines_ = true;
+    } else if (event == "told") {
+      const auto& r = jobs_.at(words_.at(0));
+      out_.push_back(graph_.doomed(words_.at(0)) || r.status == wire::JobStatus::withdrawn ? "withdrawn"
+                     : r.status == wire::JobStatus::done                                   ? "done"
+                     : graph_.ready(words_.at(0))                                          ? "may start"
+                                                                                           : "queued");
+    } else if (event == "to_withdraw") {
+      std::string all;
+      for (const auto& id : graph_.to_withdraw()) all += " " + id;
+      out_.push_back("records to follow:" + all);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  void follow_graph() {
+    static constexpr const char* kRanks[] = {"low", "normal", "high", "production"};
+    for (const auto& id : graph_.take_changed()) {
+      const auto& r = jobs_.at(id);
+      const auto c = graph_.course(id, r);
+      out_.push_back(
+          id +
+          (graph_.ready(id) ? " ready since " + std::to_string((c.ready - kWallClock) / kSecond) : " waits") +
+          ", " + kRanks[static_cast<int>(c.rank)] +
+          (c.finish_by ? ", by " + std::to_string((*c.finish_by - kWallClock) / kSecond) : ""));
+      if (!holder_ || !graph_.ready(id)) continue;
+      holder_->job_known(id, r, graph_.ready_version(id) > 100, now_, wall());
+      holder_->set_course(id, c, now_, wall());
+    }
+  }
+
   bool ownership_event(const std::string& event) {
     if (event == "granted") {
       own_.lease_granted(std::stoull(words_.at(0)), now_);
@@ -229,6 +290,11 @@
   wire::PlatformSettings platform_ = wire::parse_settings(testing::settings_json().dump());
   std::vector<wire::MachineType> types_ = testing::machine_types();
   std::map<std::string, JobRecord> jobs_;
+  bool pipelines_ = false;
+  job::Graph graph_{[this](const std::string& id) -> const JobRecord* {
+    auto it = jobs_.find(id);
+    return it == jobs_.end() ? nullptr : &it->second;
+  }};
   std::unique_ptr<Holder> holder_;
   const Holder* rebuilt_ = nullptr;
   Ownership own_{platform_};
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -23,6 +23,27 @@
   EXPECT_EQ(job_to_json(t), job_to_json(s));
 }
 
+TEST(Job, WhatItWaitsForIsAListOfJobIds) {
+  Json j = testing::job_json();
+  const Json none = job_to_json(parse_job(j.dump()));
+  for (const Json& empty : {Json(), Json::array()}) {
+    j["waitsOn"] = empty;
+    EXPECT_EQ(job_to_json(parse_job(j.dump())), none);
+  }
+  j["waitsOn"] = {"j-2", "j-1", "j-2"};
+  EXPECT_EQ(parse_job(j.dump()).needs, (std::vector<std::string>{"j-2", "j-1"}));
+  EXPECT_EQ(job_from_json(job_to_json(parse_job(j.dump()))).needs, (std::vector<std::string>{"j-2", "j-1"}));
+  for (const Json& bad :
+       {Json("j-1"), Json(1), Json::object(), Json({"j-1", 2}), Json({"x-1"}), Json({""})}) {
+    j["waitsOn"] = bad;
+    EXPECT_THROW(parse_job(j.dump()), BadNeeds) << bad.dump();
+  }
+  // As long as the body allows.
+  j["waitsOn"] = Json::array();
+  for (int i = 0; i < 5000; ++i) j["waitsOn"].push_back("j-" + std::to_string(10'000 + i));
+  EXPECT_EQ(parse_job(j.dump()).needs.size(), 5000U);
+}
+
 TEST(Job, BadInputIsRefusedWithAReason) {
   const auto refused = [](const char* name, Json value) {
     Json j = testing::job_json();
