--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t kAskedAtOnce = 6;
 constexpr int kDrainsPerTick = 4;
 constexpr Micros kBootsIn = 20 * kSecond;  // a machine that boots is seldom up sooner
+constexpr Micros kOfferAfter = 6 * kSecond;
 constexpr Micros kDrainTime = 15 * kSecond;
 std::string offer(const std::string& type, const std::string& zone, bool spot) {
   return type + " " + zone + (spot ? " spot" : "");
@@ -471,14 +472,21 @@
     plan.actions.emplace_back(Move{r.id, r.share, -1, true, wire::Rank::low});
   }
   // While ordinary machines of a type are rented, a spot one that is idle for a moment would be missed.
-  std::set<std::size_t> ordinary;
+  // Gangs that run on ordinary ones move to it, if their share has it.
+  std::map<std::size_t, std::set<int>> ordinary;  // type -> shares that use some
   for (const auto& r : plan.rooms)
-    if (!r.spot && !draining_.contains(r.id)) ordinary.insert(r.type);
+    if (!r.spot && !draining_.contains(r.id)) ordinary[r.type].insert(r.booting || r.empty ? -1 : r.share);
   for (const auto& r : plan.rooms) {
     if (r.booting || draining_.contains(r.id)) continue;
     const Micros idle = r.idle_ms * kMillisecond;
     if (gpu_wanted_[r.type]) {
-      if (r.spot && ordinary.contains(r.type)) continue;
+      if (auto o = ordinary.find(r.type);
+          r.spot && o != ordinary.end() && idle < 2 * settings_.idle_spot_gpu_after) {
+        const int user = *o->second.rbegin();
+        if (r.empty && !r.gpu_touched && user >= 0 && !o->second.contains(r.share) && idle >= kOfferAfter)
+          plan.actions.emplace_back(Move{r.id, r.share, user});
+        continue;
+      }
       if (r.gpu_touched || idle < (r.spot ? settings_.idle_spot_gpu_after : settings_.idle_gpu_after) ||
           r.top_rank > wire::Rank::low)
         continue;
--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -94,6 +94,9 @@
   Micros not_before = 0;
   std::set<std::string> bad_machines;
   std::uint64_t gang_attempt = 0;
+  Micros began = 0;          // a gang's first attempt
+  Micros to_spot_until = 0;  // a gang that was stopped to go on on spot machines
+  Micros moved = 0;
   std::uint32_t waiting() const {
     return spec->tasks - done.count() - static_cast<std::uint32_t>(active.size());
   }
--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -13,6 +13,9 @@
 constexpr Micros kHoldRoom = 3 * kSecond;  // for what it was made
 constexpr Micros kAwaitPlain = 4 * kSecond;
 constexpr Micros kDefaultWait = 60 * kSecond;
+constexpr Micros kWorthMoving = 75 * kSecond;  // left of a gang, at least
+constexpr Micros kMoveAgain = 90 * kSecond;
+constexpr Micros kMoveTime = 15 * kSecond;
 }  // namespace
 
 void Placer::note_gpu_job(const JobSpec& spec) {
@@ -227,7 +230,8 @@
                                             const std::function<Resources(const Machine&)>& room_of) const {
   std::map<std::string, std::int64_t> found;
   for (const auto& [id, m] : picture_.machines)
-    if (machine_allowed(j, m, now)) found[j.spec->one_zone ? m.record.zone : ""] += slots(j, m, room_of(m));
+    if (machine_allowed(j, m, now) && (m.record.spot || j.to_spot_until <= now))
+      found[j.spec->one_zone ? m.record.zone : ""] += slots(j, m, room_of(m));
   std::vector<std::string> out;
   for (const auto& [zone, n] : found)
     if (n >= j.spec->tasks) out.push_back(zone);
@@ -243,6 +247,7 @@
   if (zones.empty()) return false;
   const std::uint64_t attempt = (epoch_ << kEpochShift) + attempts_ + 1;
   j.gang_attempt = attempt;
+  if (j.began == 0) j.began = now;
   for (std::uint32_t i = 0; i < j.spec->tasks; ++i) {
     if (j.done.test(i)) continue;
     if (place_one(j, i, attempt, false, now, zones.front())) continue;
@@ -256,9 +261,54 @@
     return false;
   }
   ++attempts_;
+  j.to_spot_until = 0;
   return true;
 }
 
+/// A gang that saves, runs whole on ordinary machines and has some time to go: what is left costs less on
+/// spot machines than fetching the image again and the repeated start.
+bool Placer::worth_spot(const Job& j, Micros now) const {
+  if (j.spec->shape != Shape::gang || !j.spec->spot || j.spec->checkpoint_every == 0 ||
+      j.spec->need.gpus == 0)
+    return false;
+  if (j.withdrawn || j.finished || j.committing || j.active.size() != j.spec->tasks) return false;
+  if (now - j.moved < kMoveAgain && j.moved > 0) return false;
+  bool ordinary = false;
+  for (const auto& [index, machine] : j.active) {
+    const Machine& m = picture_.machines.at(machine);
+    auto p = m.tasks.find({j.id, index});
+    if (p == m.tasks.end() || p->second.phase != Phase::running || p->second.halting) return false;
+    ordinary = ordinary || !m.record.spot;
+  }
+  const Micros elapsed = j.began > 0 ? now - j.began : 0;
+  if (!ordinary) return false;
+  // Owners guess too low as often as too high.
+  const Micros left = std::max(j.spec->estimate - elapsed, elapsed / 3);
+  // Not if the move may cost what is expected of it.
+  for (const auto& o : platform_.objectives)
+    if (o.kind == "finished" && o.job_class == j.spec->job_class) {
+      const Micros spare = j.ready + o.within - now - left;
+      if (spare > 0 && spare < left / 2 + kMoveTime * 2) return false;
+    }
+  return left > kWorthMoving;
+}
+
+/// Machines with GPUs cost several times as much when they aren't spot ones. When some of those are left
+/// over, a gang saves, stops and goes on there; its ordinary machines can be given back.
+void Placer::move_to_spot(Micros now) {
+  for (auto& [id, j] : picture_.jobs) {
+    if (!worth_spot(*j, now)) continue;
+    const auto zones =
+        gang_zones(*j, now, [](const Machine& m) { return m.record.spot ? m.free : Resources{}; });
+    if (zones.empty()) continue;
+    spdlog::info("gang {} goes on on spot machines", j->id);
+    j->moved = now;
+    j->to_spot_until = now + kMoveTime;
+    picture_.stop_gang(*j, j->spec->save_time);
+    return;
+  }
+}
+
 /// Stops lower ranks on as many machines of one zone as the whole gang needs, or on none.
 bool Placer::make_gang_room(Job& j, Micros now) {
   if (!j.active.empty() || !quota_.within_limit(j, j.spec->tasks)) return false;
@@ -390,6 +440,7 @@
     for (std::uint32_t i = 0; i < j->waiting() && i < 8 && make_room(*j, now); ++i) coming = true;
     if (!coming && stays && !await_plain(*j, now)) place(false);
   }
+  if (picture_.rebuilt) move_to_spot(now);
 }
 
 }  // namespace aspenwick::place
--- a/src/place/placer.h
+++ b/src/place/placer.h
@@ -52,6 +52,8 @@
                                       const std::function<Resources(const Machine&)>& room_of) const;
   bool place_gang(Job& j, Micros now);
   bool make_gang_room(Job& j, Micros now);
+  bool worth_spot(const Job& j, Micros now) const;
+  void move_to_spot(Micros now);
   bool make_room(Job& j, Micros now);
 
   const wire::PlatformSettings& platform_;
