--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -23,6 +23,7 @@
 constexpr Micros kCloudDeadline = 5 * kSecond;
 constexpr int kReads = 3;              // formats: 3 has rows of units, specs in parts, types in rows
 constexpr double kProgressPart = 0.3;  // of the changes that the state service takes
+constexpr double kMovePart = 0.25;     // the same, for one node's moves
 
 std::string progress_key(int share, const std::string& job, std::uint32_t row) {
   return kProgress + std::to_string(share) + "/" + job + "/" + share::Holder::row_name(row);
@@ -725,7 +726,7 @@
       }
       store_.commit(
           {{kHolder + std::to_string(s), held.key_version}, {kJob + id, record.version}}, std::move(writes),
-          store::Urgency::user,
+          store::Urgency::accept,
           [this, s = s, epoch = held.epoch, id, record, rest](int code, std::uint64_t revision) mutable {
             if (code == 200) {
               delete_keys(std::move(rest));
@@ -898,7 +899,13 @@
   auto held = held_.find(it->second.share);
   if (held == held_.end() || !may_start(held->second) || to == it->second.share || moving_.contains(machine))
     return;
-  if (!held->second.holder->release(machine, now())) return;
+  // A share that gives many at once must not keep users waiting for their changes.
+  const Micros t = now();
+  const double pace = platform_.state_write_rps * kMovePart;
+  move_level_ = std::min(std::max(2.0, 2 * pace), move_level_ + to_seconds(t - last_move_) * pace);
+  last_move_ = t;
+  if (move_level_ < 1 || !held->second.holder->release(machine, t)) return;
+  move_level_ -= 1;
   moving_.insert(machine);
   MachineRecord m = it->second;
   const int from = m.share;
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -155,8 +155,8 @@
   std::unique_ptr<fleet::Renter> renter_;
   std::uint64_t renter_epoch_ = 0;
   fleet::RequestNames request_names_;
-  Micros next_list_ = 0, next_prices_ = 0, last_done_ = 0, renewed_ = 0;
-  double cloud_tokens_ = 1, progress_level_ = 0;
+  Micros next_list_ = 0, next_prices_ = 0, last_done_ = 0, last_move_ = 0, renewed_ = 0;
+  double cloud_tokens_ = 1, progress_level_ = 0, move_level_ = 0;
   Micros cloud_last_ = 0;
   std::uint32_t asked_ = 0;
   std::map<std::uint32_t, StatusWait> asks_;
--- a/src/app/user_requests.cpp
+++ b/src/app/user_requests.cpp
@@ -87,7 +87,7 @@
       continue;
     }
     if (++s->asked > kMostLookUps) return retry(s->exchange, "too many jobs to look up at once");
-    store_.get(kJob + id, store::Urgency::user, [this, s, id](int code, const wire::Row& row) {
+    store_.get(kJob + id, store::Urgency::accept, [this, s, id](int code, const wire::Row& row) {
       if (code == 404) return never_accepted(s, id);
       if (code != 200) return retry(s->exchange, "state service");
       try {
@@ -110,7 +110,7 @@
 /// holds.
 void Controller::never_accepted(const std::shared_ptr<Submission>& s, const std::string& need) {
   const std::string id = s->record.spec->id;
-  store_.get(kJob + id, store::Urgency::user, [this, s, id, need](int code, const wire::Row&) {
+  store_.get(kJob + id, store::Urgency::accept, [this, s, id, need](int code, const wire::Row&) {
     if (code == 200) return status(s->exchange, id);
     if (code != 404) return retry(s->exchange, "state service");
     s->exchange->answer(422, wire::error_body("it needs " + need + ", which was never accepted"));
@@ -146,7 +146,7 @@
     writes.push_back({kJob + id, s->rows.value, {}, false});
   }
   store_.commit(
-      std::move(guards), std::move(writes), store::Urgency::user,
+      std::move(guards), std::move(writes), store::Urgency::accept,
       [this, s, id, last](int code, std::uint64_t revision) {
         if (code == 200 && !last) return write_record(s);
         if (code == 200) {
@@ -232,7 +232,7 @@
     return x->answer(200, wire::status_body(id, it->second.status));
   if (graph_.doomed(id)) return x->answer(200, wire::status_body(id, JobStatus::withdrawn));
   if (!synced_ || tries == 0) return retry(x, "state service");
-  store_.get(kJob + id, store::Urgency::user, [this, x, id, tries](int code, const wire::Row& row) {
+  store_.get(kJob + id, store::Urgency::accept, [this, x, id, tries](int code, const wire::Row& row) {
     if (code == 404) return x->answer(404, wire::error_body("no such job"));
     if (code != 200) return retry(x, "state service");
     job::JobRecord record;
@@ -248,7 +248,7 @@
     // `done` and `withdrawn` race by the guard: one of them finds the record changed.
     store_.commit({{kJob + id, row.version}},
                   {{kJob + id, job::withdrawn_value(record, platform_.value_room()), {}, false}},
-                  store::Urgency::user,
+                  store::Urgency::accept,
                   [this, x, id, tries, record](int commit, std::uint64_t revision) mutable {
                     if (commit == 409) return withdraw(x, id, tries - 1);
                     if (commit != 200) return retry(x, "state service");
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -5,7 +5,8 @@
 namespace aspenwick::store {
 namespace {
 constexpr double kWritePart = 0.6;
-constexpr double kPart = 0.9;  // of the budget; the rest is for clocks and bursts that overlap
+constexpr double kKept = 0.25;  // of a full bucket of changes, for users
+constexpr double kPart = 0.9;   // of the budget; the rest is for clocks and bursts that overlap
 constexpr Micros kDeadline = 2 * kSecond;
 constexpr Micros kLeaseDeadline = 1200 * kMillisecond;
 constexpr Micros kPump = 20 * kMillisecond;
@@ -44,7 +45,10 @@
 
 bool Client::ok(Micros now) const { return last_ok_ >= last_bad_ ? now - last_ok_ < 4 * kSecond : false; }
 
-bool Client::writes_spare() const { return writes_.level > writes_.burst * 0.4 && queues_[1].empty(); }
+bool Client::writes_spare() const {
+  return writes_.level > writes_.burst * 0.4 && queue(Urgency::accept).empty() &&
+         queue(Urgency::user).empty();
+}
 
 void Client::submit(Urgency urgency, Request request) {
   request.queued = clock_();
@@ -72,7 +76,10 @@
         late.done(429, "");  // surely not executed
         continue;
       }
-      const double writes = std::min<double>(r.writes, writes_.burst);
+      // Machines that come and move leave users' changes a part that is there at once.
+      const double kept =
+          &queue == &queues_[static_cast<std::size_t>(Urgency::accept)] ? 0 : writes_.burst * kKept;
+      const double writes = std::min(r.writes + kept, writes_.burst);
       if (now < slow_until_ || requests_.level < 1 || (r.writes > 0 && writes_.level < writes)) break;
       requests_.level -= 1;
       writes_.level -= r.writes;
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -14,8 +14,9 @@
 
 namespace aspenwick::store {
 
-/// Lease renewals go at once; the rest waits for the budget, in this order.
-enum class Urgency : std::uint8_t { now, user, read, background };
+/// Lease renewals go at once; the rest waits for the budget, in this order. `accept`: a user waits for it, or
+/// the next stage of a pipeline.
+enum class Urgency : std::uint8_t { now, accept, user, read, background };
 
 struct TokenBucket {
   double rate = 1, burst = 1, level = 1;
@@ -64,7 +65,7 @@
   /// The service answered lately.
   bool ok(Micros now) const;
   /// So much waits already that one more would be late.
-  bool crowded() const { return queues_[1].size() > 30; }
+  bool crowded() const { return queue(Urgency::accept).size() > 30; }
   std::size_t txn_ops() const { return txn_ops_; }
   bool writes_spare() const;
 
@@ -91,7 +92,8 @@
   std::function<Micros()> clock_;
   TokenBucket requests_, writes_;
   std::size_t txn_ops_;
-  std::array<std::deque<Request>, 4> queues_;
+  const std::deque<Request>& queue(Urgency u) const { return queues_[static_cast<std::size_t>(u)]; }
+  std::array<std::deque<Request>, 5> queues_;
   event* pump_timer_ = nullptr;
   Micros last_ok_ = 0, last_bad_ = 0, slow_until_ = 0;
   std::function<void(Micros)> observer_;
