A stage takes the priority of what needs it only once it is pressed for time

Cause: stages below a late last job have no priority yet and waited behind those that had it and 50 s to spare. Excluded: renting (all plain machines were up).

--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -45,9 +45,14 @@
   return j.spec->deadline ? to_finish : std::min(to_finish, to_start);
 }
 
+Rank Placer::rank_now(const Job& j, Micros now) const {
+  return j.rank == j.spec->rank || slack(j, now) < kPressed ? j.rank : j.spec->rank;
+}
+
 std::vector<Job*> Placer::ordered_jobs(Micros now) const {
   struct Entry {
     Job* job;
+    Rank rank;
     bool guaranteed, late;
     Micros slack;
   };
@@ -59,10 +64,10 @@
     // Once a deadline can no longer be kept, the job makes way for those that still can: by deadline alone,
     // all jobs of an overloaded hour would be late together. Of the late ones, the shortest first.
     const bool late = j->finish_by && *j->finish_by - j->spec->estimate < now;
-    list.push_back({j.get(), guaranteed, late, left});
+    list.push_back({j.get(), rank_now(*j, now), guaranteed, late, left});
   }
   const auto before = [](const Entry& a, const Entry& b) {
-    if (a.job->rank != b.job->rank) return a.job->rank > b.job->rank;
+    if (a.rank != b.rank) return a.rank > b.rank;
     if (a.guaranteed != b.guaranteed) return a.guaranteed;
     if (a.late != b.late) return b.late;
     if (a.slack != b.slack) return a.slack < b.slack;
@@ -79,7 +84,7 @@
   double work = 0;
   std::vector<std::pair<Entry*, double>> kept;
   for (Entry& e : list) {
-    if (e.late || !e.job->finish_by || e.job->rank != Rank::low || low_slots < 1) continue;
+    if (e.late || !e.job->finish_by || e.rank != Rank::low || low_slots < 1) continue;
     kept.emplace_back(&e, e.job->waiting() * run_time(*e.job));
     work += kept.back().second;
     while (work / low_slots > to_seconds(e.slack) && !kept.empty()) {
@@ -434,10 +439,7 @@
     };
     // Production rather displaces lower ranks than stay on a dear machine. What is done soon takes dear room
     // that is there anyway: displaced work is lost.
-    // What has its rank from jobs that need it goes first, but stops others' work only once it is pressed for
-    // time.
-    const bool pressed = j->rank == j->spec->rank || slack(*j, now) < kPressed;
-    const bool may_displace = (j->rank >= Rank::high && pressed) || quota_.within_guarantee(*j);
+    const bool may_displace = rank_now(*j, now) >= Rank::high || quota_.within_guarantee(*j);
     const bool stays = j->rank == Rank::production;
     if (place(stays) || !may_displace) continue;
     bool coming = false;
--- a/src/place/placer.h
+++ b/src/place/placer.h
@@ -28,6 +28,9 @@
   /// Jobs with waiting tasks, the first to be placed first.
   std::vector<Job*> ordered_jobs(Micros now) const;
   Micros slack(const Job& j, Micros now) const;
+  /// The priority that a job from which others wait is placed with: theirs once it is pressed for time, until
+  /// then its own, so that stages with time to spare neither stop others' work nor hold up what has less.
+  wire::Rank rank_now(const Job& j, Micros now) const;
   static double run_time(const Job& j);
   bool await_plain(const Job& j, Micros now) const;
   /// Any share's job: which machine types its GPU tasks can use.
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -669,7 +669,7 @@
         if (closed) d.closed_zones |= 1U << z;
       }
     }
-    d.rank = j->rank;
+    d.rank = placer_.rank_now(*j, now);
     d.shape = j->spec->shape;
     d.spot = j->spec->spot;
     d.waiting = static_cast<std::uint32_t>(waiting);
