No word on a job while one above it is not known here

Another node may have told a user that what stands below is withdrawn; here it would have been called queued again. Users are told to come again until the parts are there. Trace: pipeline-records-in-any-order.

--- a/src/app/user_requests.cpp
+++ b/src/app/user_requests.cpp
@@ -197,8 +197,8 @@
     if (!ok || it == jobs_.end()) return retry(x, "state service");
     if (it->second.final()) return x->answer(200, wire::status_body(id, it->second.status));
     if (graph_.doomed(id)) return x->answer(200, wire::status_body(id, JobStatus::withdrawn));
-    if (!it->second.spec || !graph_.ready(id))
-      return x->answer(200, wire::status_body(id, JobStatus::queued, std::pair{0U, 0U}));
+    if (!it->second.spec || !graph_.whole(id)) return retry(x, "still being read");
+    if (!graph_.ready(id)) return x->answer(200, wire::status_body(id, JobStatus::queued, std::pair{0U, 0U}));
     tell_status(x, id);
   });
 }
--- a/src/job/graph.cpp
+++ b/src/job/graph.cpp
@@ -23,6 +23,20 @@
   auto it = nodes_.find(id);
   return it != nodes_.end() && it->second.doomed;
 }
+bool Graph::whole(const std::string& id) const {
+  auto it = nodes_.find(id);
+  if (it == nodes_.end()) return true;
+  std::vector<const Node*> next{&it->second};
+  std::set<const Node*> seen{&it->second};
+  while (!next.empty()) {
+    const Node& n = *next.back();
+    next.pop_back();
+    if (!n.known && n.status == JobStatus::queued) return false;
+    for (const Node* m : n.needs)
+      if (m->status == JobStatus::queued && seen.insert(m).second) next.push_back(m);
+  }
+  return true;
+}
 std::uint64_t Graph::ready_version(const std::string& id) const {
   auto it = nodes_.find(id);
   return it == nodes_.end() ? 0 : it->second.ready_version;
--- a/src/job/graph.h
+++ b/src/job/graph.h
@@ -38,6 +38,8 @@
   bool ready(const std::string& id) const;
   /// A job that it needs, directly or through others, is withdrawn: users are told that it is withdrawn too.
   bool doomed(const std::string& id) const;
+  /// All undecided jobs above it are known here; else a cancellation far above might be missed.
+  bool whole(const std::string& id) const;
   /// The version of the last record that made it ready; 0 if it needs nothing.
   std::uint64_t ready_version(const std::string& id) const;
   Course course(const std::string& id, const JobRecord& record) const;
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -219,8 +219,9 @@
       const auto& r = jobs_.at(words_.at(0));
       out_.push_back(graph_.doomed(words_.at(0)) || r.status == wire::JobStatus::withdrawn ? "withdrawn"
                      : r.status == wire::JobStatus::done                                   ? "done"
-                     : graph_.ready(words_.at(0))                                          ? "may start"
-                                                                                           : "queued");
+                     : !graph_.whole(words_.at(0)) ? "nothing yet: ask again"
+                     : graph_.ready(words_.at(0))  ? "may start"
+                                                   : "queued");
     } else if (event == "to_withdraw") {
       std::string all;
       for (const auto& id : graph_.to_withdraw()) all += " " + id;
