While many machines boot, larger ones of nearly the same price first

Cause: each machine that joins takes a change of the state service; at Auckland's cold start 600 small ones joined at 9 a second and work waited until 110 s. Excluded: refused rentals, boot times (most were up and asked to join).

--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kAskedAtOnce = 6;
 constexpr int kDrainsPerTick = 4;
 constexpr Micros kBootsIn = 20 * kSecond;  // a machine that boots is seldom up sooner
+constexpr std::size_t kManyBooting = 40;
+constexpr double kLargerWorth = 0.02;  // for each doubling
 constexpr Micros kOfferAfter = 6 * kSecond;
 constexpr Micros kDrainTime = 15 * kSecond;
 std::string offer(const std::string& type, const std::string& zone, bool spot) {
@@ -295,7 +297,10 @@
         if (!suits(w, t, zone, spot) || (!only_zone.empty() && zone != only_zone)) continue;
         std::uint32_t use = std::min(w.left, fits);
         if (w.demand.per_zone > 0) use = std::min(use, w.demand.per_zone);
-        all.push_back({t, zone, spot, (spot ? spot_price : types_[t].price) / std::max(1U, use), fits});
+        double cost = (spot ? spot_price : types_[t].price) / std::max(1U, use);
+        // Each machine that joins takes a change: while many are on their way, larger ones are sooner of use.
+        if (booting_.size() > kManyBooting) cost /= 1 + kLargerWorth * std::log2(std::max(1U, use));
+        all.push_back({t, zone, spot, cost, fits});
       }
   }
   std::stable_sort(all.begin(), all.end(), [](const Offer& a, const Offer& b) { return a.cost < b.cost; });
