--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -114,10 +114,11 @@
 bool Placer::place_allowed(const Job& j) const {
   if (j.committing) return false;
   if (picture_.rebuilt) return true;
-  // Until all machines are accounted for, only jobs that cannot run anywhere yet, of teams without a limit
-  // that unseen tasks might use up.
+  // Until all machines are accounted for, only jobs that cannot run anywhere yet, and that take nothing of
+  // which their team has a limit that unseen tasks might use up.
   const wire::Team* t = quota_.team(j.spec->team);
-  return j.fresh && t && t->limit.cpus == 0 && t->limit.gpus == 0;
+  return j.fresh && t && (t->limit.cpus == 0 || j.spec->need.cpus == 0) &&
+         (t->limit.gpus == 0 || j.spec->need.gpus == 0);
 }
 
 bool Placer::machine_allowed(const Job& j, const Machine& m, Micros now) const {
--- a/tests/fixtures.h
+++ b/tests/fixtures.h
@@ -13,7 +13,8 @@
     "params": {
       "nodes": 3, "zones": ["z1", "z2", "z3"],
       "teams": [{"name": "red", "cpus": 0, "cpus_max": 0, "gpus": 0, "gpus_max": 0},
-                {"name": "tight", "cpus": 4, "cpus_max": 8, "gpus": 0, "gpus_max": 0}],
+                {"name": "tight", "cpus": 4, "cpus_max": 8, "gpus": 0, "gpus_max": 0},
+                {"name": "cards", "cpus": 0, "cpus_max": 0, "gpus": 0, "gpus_max": 4}],
       "objectives": [{"kind": "wait", "class": "batch", "within_s": 30, "share": 0.9}],
       "workers": {"report_s": 1.5, "lease_s": 12, "gang_wait_s": 40, "gang_peer_s": 8, "cancel_s": 37},
       "state": {"rps": 80, "write_rps": 25, "value_kb": 16, "txn_ops": 20},
