--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -14,7 +14,7 @@
 constexpr Micros kAwaitPlain = 4 * kSecond;
 constexpr Micros kDefaultWait = 60 * kSecond;
 constexpr Micros kWorthMoving = 75 * kSecond;  // left of a gang, at least
-constexpr Micros kPressed = 25 * kSecond;
+constexpr Micros kPressed = 40 * kSecond;
 constexpr Micros kMoveAgain = 90 * kSecond;
 constexpr Micros kMoveTime = 15 * kSecond;
 }  // namespace
