--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -163,6 +163,7 @@
   for (const auto& s : shares)
     for (const auto& d : s.demands) {
       plan.wants.push_back({s.share, d, d.waiting, 0, {}});
+      if (can_wait(d)) plan.low_running[s.share] += d.running;
       for (std::size_t t = 0; t < types_.size() && t < 64; ++t)
         if (d.need.gpus > 0 && (d.types >> t & 1)) gpu_wanted_[t] = true;
     }
@@ -450,9 +451,11 @@
   if (urgent) take_booting(plan, w);
   if (can_wait(w.demand)) {
     const double guess = w.demand.guess_ms > 0 ? w.demand.guess_ms / 1e3 : 30.0;
-    auto& backlog = plan.backlogs[w.share];
-    backlog.work += (w.demand.waiting + 0.5 * w.demand.running) * guess;
-    backlog.slots += w.demand.running + w.fitted;
+    // What runs of work that can wait makes room soon, and the earliest takes it first, whichever job it was.
+    auto [it, first] = plan.backlogs.try_emplace(w.share);
+    if (first) it->second.slots = plan.low_running[w.share];
+    it->second.work += (w.demand.waiting + 0.5 * w.demand.running) * guess;
+    it->second.slots += w.fitted;
   }
   rent_for(plan, w);
 }
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -119,6 +119,7 @@
       double slots = 0;  // that work on it, or will
     };
     std::map<int, Backlog> backlogs;
+    std::map<int, double> low_running;  // tasks of work that can wait, of each share
     std::vector<Action> actions;
     int rents = 0;
   };
--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -14,6 +14,7 @@
 constexpr Micros kAwaitPlain = 4 * kSecond;
 constexpr Micros kDefaultWait = 60 * kSecond;
 constexpr Micros kWorthMoving = 75 * kSecond;  // left of a gang, at least
+constexpr Micros kPressedToStart = 20 * kSecond;
 constexpr Micros kPressed = 40 * kSecond;
 constexpr Micros kMoveAgain = 90 * kSecond;
 constexpr Micros kMoveTime = 15 * kSecond;
@@ -46,7 +47,9 @@
 }
 
 Rank Placer::rank_now(const Job& j, Micros now) const {
-  return j.rank == j.spec->rank || slack(j, now) < kPressed ? j.rank : j.spec->rank;
+  const bool pressed = j.rank == j.spec->rank || j.ready + start_within(j) - now < kPressedToStart ||
+                       (j.finish_by && *j.finish_by - j.spec->estimate - now < kPressed);
+  return pressed ? j.rank : j.spec->rank;
 }
 
 std::vector<Job*> Placer::ordered_jobs(Micros now) const {
