Urgent arrays rent no dear machines while there is twice as much low work to displace

Cause: an array of high rank that should start within 12 s was always urgent, so it rented machines that boot in 45 s although it had displaced low work by then.

--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -352,6 +352,8 @@
         fits > 0 && (t >= 64 || w.demand.types >> t & 1))
       cheapest = std::min(cheapest, (w.demand.spot ? types_[t].spot_price : types_[t].price) /
                                         std::min(std::max(1U, w.left), fits));
+  double low = 0;
+  for (const auto& [share, running] : plan.low_running) low += running;
   for (const auto& o : offers(w, plan.now, "")) {
     if (w.left == 0 || plan.rents >= kRentsPerTick || asked_.size() >= kAskedAtOnce) return;
     if (!suits(w, o.type, o.zone, o.spot)) continue;  // its zone may be full by now
@@ -362,6 +364,10 @@
                             ? w.demand.slack_ms == 0
                             : w.demand.slack_ms < to_seconds(types_[o.type].boot) * 1000;
     if (dear && !urgent && !can_wait(w.demand)) continue;
+    // It displaces work that can wait long before a dear machine has booted; that work has its own measure.
+    if (dear && w.demand.rank == wire::Rank::high && w.demand.shape == wire::Shape::array &&
+        low >= 2.0 * w.left)
+      continue;
     std::uint32_t tasks = wanted(plan, w, dear);
     if (w.demand.per_zone > 0) {
       auto z = w.zones.find(o.zone);
