--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -763,7 +763,7 @@
 void Controller::gossip() {
   Gossip g;
   g.node = platform_.name;
-  g.state_ok = store_.ok(now());
+  g.state_ok = own_.has_state(store_.ok(now()), now());
   g.synced = synced_;
   g.lease = own_.lease().value_or(0);
   g.shares = own_shares();
--- a/src/share/ownership.h
+++ b/src/share/ownership.h
@@ -57,6 +57,9 @@
   /// say that they lack the state service too; unconfirmed, for no longer than unconfirmed_bound().
   bool may_renew_workers(Micros now) const;
   Micros unconfirmed_bound() const;
+  /// What we tell peers. While our lease is valid we may take their shares, so we never say that we lack the
+  /// state service then, whatever single calls of ours came to: they would go on renewing their workers.
+  bool has_state(bool answered, Micros now) const { return answered || lease_valid(now); }
   /// The last moment at which the former holder may have renewed a worker's lease, when we take over at
   /// `now`.
   Micros renewable_until(const std::string& former, std::uint64_t former_lease, Micros now) const;
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -272,6 +272,9 @@
                      (own_.may_renew_workers(now_) ? "renewed" : "not renewed") +
                      (own_.refused_alone(now_) ? ", refused alone" : "") +
                      (take.empty() ? "" : ", take" + take) + (back.empty() ? "" : ", hand back " + back));
+    } else if (event == "says") {
+      out_.push_back(own_.has_state(key("answered", "yes") == "yes", now_) ? "has the state service"
+                                                                           : "lacks it");
     } else if (event == "renewable") {
       const Micros until =
           own_.renewable_until(words_.at(0), static_cast<std::uint64_t>(number("lease", 0)), now_);
