--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -185,7 +185,12 @@
 
 bool Holder::apply(Machine& m, const WorkerReport& r, bool own_report, Micros now) {
   if (std::pair{r.session, r.seq} <= std::pair{m.session, m.seq}) return false;
-  if (r.session > m.session && m.session != 0) lapse(m, now, "new session");
+  if (r.session > m.session) {
+    if (m.session != 0) lapse(m, now, "new session");
+    // A session's lease runs from its beginning, with no report answered: seen through a push, it may have
+    // begun just now, and what we start in it lives that long.
+    m.lapse_at = std::max(m.lapse_at, surely_lapsed(now));
+  }
   m.session = r.session;
   m.seq = r.seq;
   m.seen_token = std::max(m.seen_token, r.token);
