What was looked for in vain is told by need, not by job

Cause: jobs of a class differ in what their tasks need, so that what one had looked for in vain said nothing of the next. Change: whoever needs as much or more than what found no room does not look again before there is new room.

--- a/src/place/picture.cpp
+++ b/src/place/picture.cpp
@@ -143,9 +143,12 @@
 
 std::shared_ptr<std::pair<const Kind, Tried>> Picture::kind_of(const JobSpec& spec,
                                                                const std::vector<wire::MachineType>& types) {
-  Kind kind{
-      spec.need, std::vector<bool>(types.size()), spec.zone ? zone(*spec.zone) : -1, spec.spot, spec.one_zone,
-      spec.shape};
+  Kind kind{spec.need.gpus > 0,
+            std::vector<bool>(types.size()),
+            spec.zone ? zone(*spec.zone) : -1,
+            spec.spot,
+            spec.one_zone,
+            spec.shape};
   for (std::size_t i = 0; i < types.size(); ++i) kind.types[i] = job::type_allowed(spec, types[i]);
   auto& known = kinds_[kind];
   if (auto shared = known.lock()) return shared;
--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -37,31 +37,40 @@
 struct Job;
 struct Machine;
 
-/// Jobs that any machine serves alike: what their tasks need and where they may run.
+/// Jobs that may use the same machines, whatever their tasks need of them.
 struct Kind {
-  Resources need;
+  bool gpus = false;        // their tasks need some
   std::vector<bool> types;  // allowed, by index
   int zone = -1;            // the only allowed one; -1: any
   bool spot = false, one_zone = false;
   wire::Shape shape = wire::Shape::array;
   auto operator<=>(const Kind& o) const {
-    return std::tie(need.cpus, need.gpus, need.memory, types, zone, spot, one_zone, shape) <=>
-           std::tie(o.need.cpus, o.need.gpus, o.need.memory, o.types, o.zone, o.spot, o.one_zone, o.shape);
+    return std::tie(gpus, types, zone, spot, one_zone, shape) <=>
+           std::tie(o.gpus, o.types, o.zone, o.spot, o.one_zone, o.shape);
   }
 };
-/// What was found in vain for a kind, by rank; holds until the picture's count moves on.
+/// What was looked for in vain: whoever needs as much or more needn't look until the count moves on.
+class InVain {
+ public:
+  bool holds(std::uint64_t count, const Resources& need, std::uint32_t tasks = 1) const {
+    return count == at_ && std::any_of(least_.begin(), least_.end(), [&](const auto& l) {
+             return l.first.fits_in(need) && l.second <= tasks;
+           });
+  }
+  void note(std::uint64_t count, const Resources& need, std::uint32_t tasks = 1) {
+    if (count != at_) at_ = count, least_.clear();
+    std::erase_if(least_, [&](const auto& l) { return need.fits_in(l.first) && tasks <= l.second; });
+    least_.emplace_back(need, tasks);
+  }
+
+ private:
+  std::uint64_t at_ = 0;
+  std::vector<std::pair<Resources, std::uint32_t>> least_;
+};
+/// Of a kind, by rank.
 struct Tried {
-  std::array<std::array<std::uint64_t, 2>, 4>
-      no_room{};                                // at picture.gains_for; second: in the cheapest tier
-  std::array<std::uint64_t, 4> none_to_stop{};  // at picture.changes
-  /// Gangs of so many tasks and more: no zone that holds them, none that would with lower ranks stopped.
-  struct Gang {
-    std::uint64_t at = 0;
-    std::uint32_t tasks = 0;
-    bool in_vain(std::uint64_t now, std::uint32_t n) const { return at == now && n >= tasks; }
-    void note(std::uint64_t now, std::uint32_t n) { tasks = at == now ? std::min(tasks, n) : n, at = now; }
-  };
-  std::array<Gang, 4> no_gang_room{}, no_gang_to_stop{};
+  std::array<InVain, 4> room, cheap_room, gang_room;  // as picture.gains_for counts
+  std::array<InVain, 4> to_stop, gang_to_stop;        // as picture.changes does
 };
 
 /// An attempt of a task that is, or may be, on a machine.
--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -227,13 +227,14 @@
     // In vain for all jobs alike, until there is more room. Zones and machines that one job avoids are its
     // own.
     const bool alike = !j.spec->spread && !j.spec->one_zone && j.bad_machines.empty() && fit.zone < 0;
-    auto& tried = j.kind->second.no_room[static_cast<std::size_t>(j.rank)];
+    auto& room = j.kind->second.room[static_cast<std::size_t>(j.rank)];
+    auto& cheap = j.kind->second.cheap_room[static_cast<std::size_t>(j.rank)];
     const auto gains = picture_.gains_for(j.kind->first);
-    if (tried[0] == gains || (cheap_only && tried[1] == gains)) return false;
+    if (room.holds(gains, j.spec->need) || (cheap_only && cheap.holds(gains, j.spec->need))) return false;
     find_fit(j, fit, now);
     const bool none = fit.machines.empty();
-    if (alike && none) tried[0] = gains;
-    if (alike && fit.tier > 0) tried[1] = gains;
+    if (alike && none) room.note(gains, j.spec->need);
+    if (alike && !none && fit.tier > 0) cheap.note(gains, j.spec->need);
     if (none) return false;
   }
   if (cheap_only && fit.tier > 0) return false;
@@ -295,12 +296,12 @@
   // Old attempts must be gone before the new one starts.
   if (!j.active.empty() || !quota_.within_limit(j, j.spec->tasks)) return false;
   // In vain for gangs alike that are as large. One that goes to spot machines looks for less than they do.
-  auto& tried = j.kind->second.no_gang_room[static_cast<std::size_t>(j.rank)];
+  auto& tried = j.kind->second.gang_room[static_cast<std::size_t>(j.rank)];
   const auto gains = picture_.gains_for(j.kind->first);
-  if (tried.in_vain(gains, j.spec->tasks)) return false;
+  if (tried.holds(gains, j.spec->need, j.spec->tasks)) return false;
   const auto zones = gang_zones(j, now, [](const Machine& m) { return m.free; });
   if (zones.empty()) {
-    if (j.bad_machines.empty() && j.to_spot_until <= now) tried.note(gains, j.spec->tasks);
+    if (j.bad_machines.empty() && j.to_spot_until <= now) tried.note(gains, j.spec->need, j.spec->tasks);
     return false;
   }
   const std::uint64_t attempt = (epoch_ << kEpochShift) + attempts_ + 1;
@@ -367,8 +368,8 @@
 /// Stops lower ranks on as many machines of one zone as the whole gang needs, or on none.
 bool Placer::make_gang_room(Job& j, Micros now) {
   if (!j.active.empty() || !quota_.within_limit(j, j.spec->tasks)) return false;
-  auto& tried = j.kind->second.no_gang_to_stop[static_cast<std::size_t>(j.rank)];
-  if (tried.in_vain(picture_.changes, j.spec->tasks)) return false;
+  auto& tried = j.kind->second.gang_to_stop[static_cast<std::size_t>(j.rank)];
+  if (tried.holds(picture_.changes, j.spec->need, j.spec->tasks)) return false;
   auto below = [&](const Placed& p) { return p.job && p.job->rank < j.rank; };
   auto room_of = [&](const Machine& m) {
     Resources room = m.free;
@@ -379,7 +380,8 @@
   };
   const auto zones = gang_zones(j, now, room_of);
   if (zones.empty()) {
-    if (j.bad_machines.empty() && j.to_spot_until <= now) tried.note(picture_.changes, j.spec->tasks);
+    if (j.bad_machines.empty() && j.to_spot_until <= now)
+      tried.note(picture_.changes, j.spec->need, j.spec->tasks);
     return false;
   }
   struct Choice {
@@ -428,8 +430,8 @@
   }
   if (!quota_.within_limit(j, 1)) return false;
   const bool alike = !j.spec->spread && !j.spec->one_zone && j.bad_machines.empty() && !guaranteed;
-  auto& tried = j.kind->second.none_to_stop[static_cast<std::size_t>(j.rank)];
-  if (!guaranteed && tried == picture_.changes) return false;
+  auto& tried = j.kind->second.to_stop[static_cast<std::size_t>(j.rank)];
+  if (!guaranteed && tried.holds(picture_.changes, j.spec->need)) return false;
   Machine* best = nullptr;
   std::vector<Placed*> best_victims;
   double best_loss = 0;
@@ -467,7 +469,7 @@
     if (!best || loss < best_loss) best = &m, best_victims = victims, best_loss = loss;
   }
   if (!best) {
-    if (alike) tried = picture_.changes;
+    if (alike) tried.note(picture_.changes, j.spec->need);
     return false;
   }
   best->held_for = j.rank;
