--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "app/latency.h"
+#include "app/leader.h"
 #include "app/operator_settings.h"
-#include "fleet/renter.h"
 #include "job/graph.h"
 #include "net/http.h"
 #include "share/holder.h"
@@ -105,9 +105,8 @@
 
   // leader
   void lead();
-  void list_machines(const std::string& after, std::shared_ptr<std::vector<wire::CloudMachine>> sofar);
-  void fetch_types();
-  void carry_out(const fleet::Action& action);
+  void give(const fleet::Move& move);
+  void forget_machines(const std::vector<std::string>& ids);
   void move_machine(const std::string& machine, int to);
   bool leading() const;
 
@@ -115,6 +114,7 @@
   void gossip();
   void on_frame(const share::Frame& frame, const share::PeerLink::Reply& reply);
   std::vector<share::ShareSaid> own_shares() const;
+  std::vector<share::ShareSaid> all_shares() const;
 
   void tick();
   void replan();
@@ -148,17 +148,18 @@
   std::map<int, HeldShare> held_;
   std::map<int, std::pair<std::string, std::uint64_t>> former_;  // share -> last holder's node and lease
   std::set<int> taking_;
-  bool taking_leader_ = false, fetching_types_ = false, listing_ = false;
+  bool taking_leader_ = false;
   std::set<std::string> adopting_;
   std::set<std::string> moving_;
-  std::map<std::string, share::Gossip> said_;
-  std::map<std::string, Micros> said_at_;
-  std::unique_ptr<fleet::Renter> renter_;
-  std::uint64_t renter_epoch_ = 0;
-  fleet::RequestNames request_names_;
-  Micros next_list_ = 0, next_prices_ = 0, last_done_ = 0, last_move_ = 0, renewed_ = 0;
-  double cloud_tokens_ = 1, progress_level_ = 0, move_level_ = 0;
-  Micros cloud_last_ = 0;
+  struct Told {
+    std::string node;
+    Micros at = 0;
+    share::ShareSaid said;
+  };
+  std::map<int, Told> said_;  // by share, the last word of whoever held it
+  Leader leader_;
+  Micros last_done_ = 0, last_move_ = 0, renewed_ = 0;
+  double progress_level_ = 0, move_level_ = 0;
   std::uint32_t asked_ = 0;
   std::map<std::uint32_t, StatusWait> asks_;
   std::vector<event*> timers_;
--- /dev/null
+++ b/src/app/leader.h
@@ -0,0 +1,67 @@
+// The leader's errands at the cloud: machine types and prices, the list of machines, rentals and deletions,
+// as its plan (fleet::Renter) wants them and the cloud's rate allows. Reaches the world through what it is
+// given.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet/renter.h"
+#include "net/http.h"
+#include "share/peer_frame.h"
+
+namespace aspenwick::app {
+
+class Leader {
+ public:
+  struct Needs {
+    std::function<Micros()> now;  // steady clock
+    net::Requester& http;
+    /// All shares' waiting work and machines, as fresh as is known.
+    std::function<std::vector<share::ShareSaid>()> shares;
+    /// The types were read for the first time and are to be recorded.
+    std::function<void(const std::vector<wire::MachineType>&)> found_types;
+    std::function<void(const fleet::Move&)> move;
+    /// The cloud has deleted them: their records can go.
+    std::function<void(const std::vector<std::string>&)> deleted;
+  };
+  Leader(const wire::PlatformSettings& platform, const fleet::RenterSettings& settings,
+         const std::vector<wire::MachineType>& types,
+         const std::map<std::string, share::MachineRecord>& machines, Needs needs)
+      : platform_(platform),
+        settings_(settings),
+        types_(types),
+        machines_(machines),
+        needs_(std::move(needs)) {}
+
+  /// Every half second while this node leads with `epoch`.
+  void lead(std::uint64_t epoch);
+  /// This node does not lead, or not any more: what it had planned is forgotten.
+  void rest() { renter_.reset(); }
+
+  /// The share that a machine which reports without a record should join.
+  int share_for(const std::string& machine, const std::string& type, int shares);
+  void adopted(const std::string& machine);
+
+ private:
+  void fetch_types();
+  void list_machines(const std::string& after, std::shared_ptr<std::vector<wire::CloudMachine>> sofar);
+  void rent(const fleet::Rent& rent);
+  void remove(const fleet::Delete& gone);
+
+  const wire::PlatformSettings& platform_;
+  fleet::RenterSettings settings_;
+  const std::vector<wire::MachineType>& types_;
+  const std::map<std::string, share::MachineRecord>& machines_;
+  Needs needs_;
+  std::unique_ptr<fleet::Renter> renter_;
+  std::uint64_t epoch_ = 0;
+  fleet::RequestNames request_names_;
+  bool fetching_types_ = false, listing_ = false;
+  Micros next_list_ = 0, next_prices_ = 0, refilled_ = 0;
+  double calls_left_ = 1;
+};
+
+}  // namespace aspenwick::app
--- a/src/app/operator_settings.cpp
+++ b/src/app/operator_settings.cpp
@@ -57,6 +57,7 @@
   seconds("renting.refused_for_s", s.renting.refused_for, 1, 600);
   real("renting.straggler_factor", s.renting.straggler_factor, 1, 20);
   seconds("renting.straggler_extra_s", s.renting.straggler_extra, 0, 600);
+  seconds("renting.level_above_s", s.renting.level_above, 0, 3600);
   seconds("renting.patience_s", s.renting.patience, 5, 3600);
   seconds("machines.suspect_for_s", s.suspect_for, 0, 3600);
   seconds("jobs.error_backoff_s", s.error_backoff, 0, 60);
--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -17,6 +17,10 @@
 constexpr double kLargerWorth = 0.02;  // for each doubling
 constexpr Micros kOfferAfter = 6 * kSecond;
 constexpr Micros kDrainTime = 15 * kSecond;
+constexpr Micros kRunEmpty = 40 * kSecond;  // as long as the holder keeps it from taking more
+constexpr double kRicher = 4;               // so many times the work in hand of another share
+constexpr std::int64_t kFewTasks = 2;
+constexpr std::size_t kLevelPart = 100;  // of all machines, at once
 std::string offer(const std::string& type, const std::string& zone, bool spot) {
   return type + " " + zone + (spot ? " spot" : "");
 }
@@ -466,6 +470,71 @@
   rent_for(plan, w);
 }
 
+// ---------------------------------------------------------------- levelling
+
+/// Work that can wait waits in one share while another's is done as soon as it comes: machines that run only
+/// such work there take no more of it, and when they are empty they move. Without this a share that was first
+/// keeps its machines, since they are hardly ever empty.
+void Renter::level(Plan& plan) {
+  if (settings_.level_above == 0 || plan.now < next_level_) return;
+  next_level_ = plan.now + kSecond;
+  struct Side {
+    double waiting = 0, work = 0, slots = 0;  // task seconds, and tasks that run
+    double in_hand() const { return waiting / std::max(1.0, slots); }
+    const Want* most = nullptr;
+  };
+  std::map<int, Side> sides;
+  for (const Want& w : plan.wants) {
+    if (!can_wait(w.demand) || w.demand.need.gpus > 0) continue;
+    const double guess = w.demand.guess_ms > 0 ? w.demand.guess_ms / 1e3 : 30.0;
+    Side& s = sides[w.share];
+    s.waiting += w.demand.waiting * guess;
+    s.work += (w.demand.waiting + 0.5 * w.demand.running) * guess;
+    s.slots += w.demand.running;
+    if (w.demand.waiting > 0 && (!s.most || w.demand.waiting > s.most->demand.waiting)) s.most = &w;
+  }
+  const auto poorest = std::max_element(sides.begin(), sides.end(), [](const auto& a, const auto& b) {
+    return a.second.in_hand() < b.second.in_hand();
+  });
+  if (poorest == sides.end() || !poorest->second.most ||
+      poorest->second.in_hand() < to_seconds(settings_.level_above))
+    return;
+  const auto& [to, poor] = *poorest;
+  const Side* rich = nullptr;
+  int from = -1;
+  for (const auto& [share, side] : sides)
+    if (share != to && side.in_hand() * kRicher < poor.in_hand() && (!rich || side.slots > rich->slots))
+      rich = &side, from = share;
+  if (!rich) return;
+  // As many as would make the work in hand the same, but never more than half of what it has.
+  const Want& w = *poor.most;
+  double tasks = std::min((poor.work * rich->slots - rich->work * poor.slots) / (poor.work + rich->work),
+                          rich->slots / 2);
+  const auto used = [&](const Room& r) { return types_[r.type].total.cpus - r.free.cpus; };
+  std::vector<Room*> rooms;
+  for (Room& r : plan.rooms) {
+    const auto n = rooms_in(w.demand, types_[r.type].total);
+    if (draining_.contains(r.id) && r.share == to) tasks -= n;
+    if (r.share != from || r.booting || r.empty || draining_.contains(r.id) || n == 0 ||
+        r.top_rank != wire::Rank::low || types_[r.type].total.gpus > 0 || !suits(w, r.type, r.zone, r.spot))
+      continue;
+    // With many tasks on it the last would end too late, and its room is idle until then.
+    if (used(r) > std::max(types_[r.type].total.cpus / 3, kFewTasks * w.demand.need.cpus)) continue;
+    rooms.push_back(&r);
+  }
+  std::stable_sort(rooms.begin(), rooms.end(),
+                   [&](const Room* a, const Room* b) { return used(*a) < used(*b); });
+  std::size_t most = 1 + plan.rooms.size() / kLevelPart;
+  for (Room* r : rooms) {
+    const auto n = rooms_in(w.demand, types_[r->type].total);
+    if (tasks < n || most-- == 0) return;
+    tasks -= n;
+    draining_[r->id] = {to, plan.now + kRunEmpty};
+    plan.actions.emplace_back(Move{r->id, from, to, true, wire::Rank::low});
+    r->share = to, r->touched = true;
+  }
+}
+
 // ---------------------------------------------------------------- giving back
 
 void Renter::give_back(Plan& plan) {
@@ -533,6 +602,7 @@
                     w.share, w.left, w.demand.waiting, static_cast<int>(w.demand.rank), w.demand.slack_ms,
                     w.demand.closed_zones);
   }
+  level(plan);
   give_back(plan);
   return std::move(plan.actions);
 }
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -24,7 +24,9 @@
   double dear_factor = 3;                     // an offer this much above the cheapest only for urgent work
   double straggler_factor = 2.5;              // of the nominal boot time
   Micros straggler_extra = 15 * kSecond;
-  Micros move_idle = kSecond;      // an empty machine may be moved after this
+  Micros move_idle = kSecond;  // an empty machine may be moved after this
+  Micros level_above =
+      60 * kSecond;  // a share with more work in hand gets machines that run empty elsewhere; 0: never
   Micros patience = 40 * kSecond;  // low-priority work should drain in about this time
   double slack_part = 0.85;        // of its slack, before dear machines are rented for low-priority work
 };
@@ -141,6 +143,7 @@
   void take_from_lower(Plan& plan, Want& w);
   void rent_for(Plan& plan, Want& w);
   void rent(Plan& plan, const Offer& offer, int count, Want& w);
+  void level(Plan& plan);
   void give_back(Plan& plan);
   bool movable(const Room& r, const Want& w) const;
   bool drainable_for_gpu(const Room& r, const Want& w) const;
@@ -164,7 +167,7 @@
   std::map<std::string, Micros> failed_;
   std::map<std::string, std::pair<int, Micros>> draining_;  // machine -> share that gets it, until
   std::vector<bool> gpu_wanted_;
-  Micros next_drain_ = 0, next_gentle_ = 0;
+  Micros next_drain_ = 0, next_gentle_ = 0, next_level_ = 0;
   int turn_ = 0;
 };
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -44,15 +44,23 @@
 /// status 0: no answer in time, or no connection: the request may have been executed, now or later.
 using Answered = std::function<void(int status, const std::string& body)>;
 
-class Client {
+/// Sends requests somewhere; what needs answers takes this, so that tests can give them.
+class Requester {
+ public:
+  virtual ~Requester() = default;
+  virtual void request(evhttp_cmd_type method, const wire::Endpoint& to, const std::string& path,
+                       const std::string& body, Micros deadline, Answered done) = 0;
+};
+
+class Client : public Requester {
  public:
   explicit Client(event_base* base, std::size_t per_endpoint = 12);
-  ~Client();
+  ~Client() override;
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
   void request(evhttp_cmd_type method, const wire::Endpoint& to, const std::string& path,
-               const std::string& body, Micros deadline, Answered done);
+               const std::string& body, Micros deadline, Answered done) override;
 
  private:
   struct Call;
--- a/src/place/picture.cpp
+++ b/src/place/picture.cpp
@@ -25,6 +25,7 @@
     load_.top = std::max(load_.top, p.job ? p.job->rank : wire::Rank::production);
     load_.gpus = load_.gpus || p.need.gpus > 0;
     load_.halting = load_.halting || p.halting;
+    load_.stays = load_.stays || (p.job && p.job->spec->shape == Shape::service);
     if (!p.job || p.halting) continue;
     load_.lowest = load_.any ? std::min(load_.lowest, p.job->rank) : p.job->rank;
     load_.any = true;
--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -121,6 +121,7 @@
     wire::Rank lowest = wire::Rank::production;  // of what could be stopped
     bool any = false;                            // something could be stopped
     bool halting = false, gpus = false;
+    bool stays = false;  // tasks of services, which keep the machine from ever being empty
   };
   const Load& load() const;
   mutable bool load_stale = true;
--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -212,8 +212,13 @@
   int warm = 0;
   for (Found& f : found) f.warmth = warmth(j, *f.machine), warm = std::max(warm, f.warmth);
   fit.machines.clear(), fit.neurons.clear();
-  for (const Found& f : found)
-    if (f.warmth == warm) fit.machines.push_back(f.machine);
+  std::erase_if(found, [&](const Found& f) { return f.warmth < warm; });
+  // What stays goes where something stays already: scattered, it would tie every machine to its share, and
+  // their rooms would be of no use to the others.
+  if (j.spec->shape == Shape::service &&
+      std::any_of(found.begin(), found.end(), [](const Found& f) { return f.machine->load().stays; }))
+    std::erase_if(found, [](const Found& f) { return !f.machine->load().stays; });
+  for (const Found& f : found) fit.machines.push_back(f.machine);
   std::sort(fit.machines.begin(), fit.machines.end(), goes_before);
   for (const Machine* m : fit.machines) fit.neurons.push_back(m->neuron);
 }
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -3,8 +3,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 
 namespace aspenwick::share {
 
@@ -24,7 +22,6 @@
 constexpr Micros kLookAgain = 200 * kMillisecond;
 constexpr Micros kDefaultWait = 60 * kSecond;
 constexpr Micros kDrainFor = 20 * kSecond;
-constexpr std::size_t kMostDemands = 64;
 }  // namespace
 
 std::uint64_t epoch_of_token(std::uint64_t token) { return token >> place::kEpochShift; }
@@ -127,27 +124,6 @@
   if (course.finish_by) j.finish_by = now + (*course.finish_by - time_of_day);
 }
 
-void Holder::merge_row(Job& j, std::uint32_t row, const std::string& text) {
-  if (row >= kUnitRows) {
-    j.recorded.merge_unit(row - kUnitRows, text);
-  } else {
-    j.recorded.merge_chunk(row, text);
-    j.recorded_whole.merge_chunk(row, text);
-  }
-}
-
-void Holder::load_done(const std::string& job, std::uint32_t row, const std::string& text,
-                       std::uint64_t version) {
-  auto it = picture_.jobs.find(job);
-  if (it == picture_.jobs.end()) return;
-  Job& j = *it->second;
-  if (row >= kUnitRows ? row - kUnitRows >= j.done.chunks() * DoneSet::kUnitsInChunk : row >= j.done.chunks())
-    return;
-  row >= kUnitRows ? j.done.merge_unit(row - kUnitRows, text) : j.done.merge_chunk(row, text);
-  merge_row(j, row, text);
-  j.row_versions[row] = version;
-}
-
 void Holder::loaded(Micros now) {
   loaded_ = true;
   check_rebuilt(now);
@@ -506,96 +482,7 @@
   placed_at_ = picture_.changes;
 }
 
-// ---------------------------------------------------------------- records
-
-std::vector<Holder::DoneWrite> Holder::done_writes(std::size_t most) {
-  std::vector<DoneWrite> out;
-  if (most == 0) return out;
-  // Most unrecorded results first: in the order of names some jobs would never have their turn.
-  std::vector<Job*> dirty;
-  for (auto& [id, j] : picture_.jobs)
-    if (!j->withdrawn && !j->finished && !j->committing && !j->done.all() && !j->dirty.empty())
-      dirty.push_back(j.get());
-  std::sort(dirty.begin(), dirty.end(), [](const Job* a, const Job* b) {
-    return a->done.count() - a->recorded.count() > b->done.count() - b->recorded.count();
-  });
-  for (Job* j : dirty) {
-    for (auto it = j->dirty.begin(); it != j->dirty.end() && out.size() < most;) {
-      // A whole chunk while its text fits a value, as all versions read it; after that unit by unit, and the
-      // chunk's row stays as it is: shortened, it would lose what it alone holds.
-      const std::uint32_t chunk = *it / DoneSet::kUnitsInChunk;
-      std::string text = j->done.chunk_text(chunk);
-      const bool whole = text.size() + 2 <= platform_.value_room();
-      const std::uint32_t row = whole ? chunk : kUnitRows + *it;
-      if (!whole) text = j->done.unit_text(*it);
-      if (j->in_flight.contains(row)) {
-        ++it;
-        continue;
-      }
-      out.push_back({j->id, row, std::move(text), j->row_versions[row]});
-      j->in_flight.insert(row);
-      const auto next = whole ? j->dirty.lower_bound((chunk + 1) * DoneSet::kUnitsInChunk) : std::next(it);
-      it = j->dirty.erase(it, next);
-    }
-  }
-  return out;
-}
-
-bool Holder::surely_recorded(const Job& j, std::uint32_t index) const {
-  return j.recorded_whole.test(index) || (all_read_units_ && j.recorded.test(index));
-}
-
-std::string Holder::row_name(std::uint32_t row) {
-  std::string name = row >= kUnitRows ? "u/" : "";
-  return name += std::to_string(row >= kUnitRows ? row - kUnitRows : row);
-}
-
-std::optional<std::pair<std::string, std::uint32_t>> Holder::parse_row_name(const std::string& name) {
-  auto slash = name.rfind('/');
-  std::uint32_t n = 0;
-  if (slash == std::string::npos) return {};
-  const char* end = name.data() + name.size();
-  if (auto [p, ec] = std::from_chars(name.data() + slash + 1, end, n);
-      ec != std::errc{} || p != end || n >= kUnitRows)
-    return {};
-  if (!name.substr(0, slash).ends_with("/u")) return std::pair{name.substr(0, slash), n};
-  return std::pair{name.substr(0, slash - 2), n + kUnitRows};
-}
-
-void Holder::done_written(const DoneWrite& w, bool ok, std::uint64_t version) {
-  auto it = picture_.jobs.find(w.job);
-  if (it == picture_.jobs.end()) return;
-  Job& j = *it->second;
-  j.in_flight.erase(w.row);
-  j.row_versions[w.row] = version;
-  if (ok) return merge_row(j, w.row, w.text);
-  if (w.row >= kUnitRows) j.dirty.insert(w.row - kUnitRows);
-  for (std::uint32_t u = 0; w.row < kUnitRows && u < DoneSet::kUnitsInChunk; ++u) {
-    const std::uint32_t unit = w.row * DoneSet::kUnitsInChunk + u;
-    if (j.done.unit_text(unit) != j.recorded.unit_text(unit)) j.dirty.insert(unit);
-  }
-}
-
-std::vector<std::string> Holder::complete_jobs() const {
-  std::vector<std::string> out;
-  for (const auto& [id, j] : picture_.jobs)
-    if (!j->withdrawn && !j->finished && !j->committing && j->done.all() && j->in_flight.empty())
-      out.push_back(id);
-  return out;
-}
-
-std::vector<std::string> Holder::done_keys(const std::string& job) const {
-  std::vector<std::string> out;
-  auto it = picture_.jobs.find(job);
-  if (it == picture_.jobs.end()) return out;
-  for (const auto& [row, version] : it->second->row_versions)
-    if (version != 0) out.push_back(job + "/" + row_name(row));
-  return out;
-}
-
-void Holder::set_committing(const std::string& job, bool on) {
-  if (auto it = picture_.jobs.find(job); it != picture_.jobs.end()) it->second->committing = on;
-}
+// ---------------------------------------------------------------- giving machines away
 
 bool Holder::release(const std::string& machine, Micros) {
   auto it = picture_.machines.find(machine);
@@ -642,131 +529,4 @@
     it->second.leaving = false, picture_.gained();
 }
 
-// ---------------------------------------------------------------- answers
-
-std::optional<std::pair<std::uint32_t, std::uint32_t>> Holder::tally(const std::string& id) const {
-  auto it = picture_.jobs.find(id);
-  if (it == picture_.jobs.end()) return {};
-  std::uint32_t running = 0;
-  for (const auto& [index, machine] : it->second->active) {
-    auto p = machine->tasks.find({id, index});
-    if (p != machine->tasks.end() && p->second.phase == Phase::running) ++running;
-  }
-  return std::pair{it->second->done.count(), running};
-}
-
-std::size_t Holder::waiting() const {
-  std::size_t n = 0;
-  for (const auto& [id, j] : picture_.jobs)
-    if (!j->withdrawn && !j->finished) n += j->waiting();
-  return n;
-}
-
-std::vector<Demand> Holder::demands(Micros now) const {
-  std::vector<Demand> out;
-  for (Job* j : placer_.ordered_jobs(now)) {
-    if (out.size() >= kMostDemands) break;
-    std::int64_t waiting = j->waiting();
-    const wire::Team* t = placer_.quota().team(j->spec->team);
-    auto use = picture_.team_use.find(j->spec->team);
-    if (t && use != picture_.team_use.end()) {
-      if (t->limit.gpus > 0 && j->spec->need.gpus > 0)
-        waiting = std::min(waiting, (t->limit.gpus - use->second.gpus) / j->spec->need.gpus);
-      if (t->limit.cpus > 0 && j->spec->need.cpus > 0)
-        waiting = std::min(waiting, (t->limit.cpus - use->second.cpus) / j->spec->need.cpus);
-    }
-    if (waiting <= 0 || now < j->not_before) continue;
-    Demand d;
-    d.need = j->spec->need;
-    d.types = 0;
-    for (std::size_t i = 0; i < types_.size() && i < 64; ++i)
-      if (j->kind->first.types[i]) d.types |= 1ULL << i;
-    if (j->spec->zone) {
-      auto z = std::find(platform_.zones.begin(), platform_.zones.end(), *j->spec->zone);
-      d.zone = static_cast<std::uint8_t>(z - platform_.zones.begin());
-    }
-    if (j->spec->spread || j->spec->one_zone) {
-      d.per_zone = j->spec->spread ? (j->spec->tasks + 1) / 2 : 0;
-      for (std::size_t z = 0; z < platform_.zones.size() && z < 32; ++z) {
-        const int n = j->tasks_in(zones_[z]);
-        const bool closed =
-            j->spec->spread ? n >= static_cast<int>(d.per_zone) : !j->active.empty() && n == 0;
-        if (closed) d.closed_zones |= 1U << z;
-      }
-    }
-    d.rank = placer_.rank_now(*j, now);
-    d.shape = j->spec->shape;
-    d.spot = j->spec->spot;
-    d.waiting = static_cast<std::uint32_t>(waiting);
-    d.running = static_cast<std::uint32_t>(j->active.size());
-    d.slack_ms =
-        static_cast<std::uint32_t>(std::clamp<Micros>(placer_.slack(*j, now) / kMillisecond, 0, 3'600'000));
-    d.guess_ms = static_cast<std::uint32_t>(std::clamp(place::Placer::run_time(*j) * 1000, 0.0, 3.6e6));
-    d.one_zone = j->spec->one_zone;
-    d.plain_only = placer_.await_plain(*j, now);
-    // Jobs that are alike are told as one: with ninety services waiting the rest would not be heard of.
-    if (d.shape == wire::Shape::service) {
-      auto same = std::find_if(out.begin(), out.end(), [&](const Demand& o) {
-        return o.shape == d.shape && o.need == d.need && o.types == d.types && o.zone == d.zone &&
-               o.rank == d.rank && o.spot == d.spot && o.one_zone == d.one_zone &&
-               o.plain_only == d.plain_only && o.closed_zones == d.closed_zones &&
-               (o.per_zone > 0) == (d.per_zone > 0) && !d.one_zone;
-      });
-      if (same != out.end()) {
-        same->waiting += d.waiting, same->running += d.running, same->per_zone += d.per_zone;
-        continue;
-      }
-    }
-    out.push_back(d);
-  }
-  // What runs of low arrays that have nothing waiting: its machines are free for others soon.
-  Demand busy;
-  for (const auto& [id, j] : picture_.jobs) {
-    if (j->spec->shape != Shape::array || j->rank >= Rank::high || j->waiting() > 0) continue;
-    busy.running += static_cast<std::uint32_t>(j->active.size());
-    busy.need += j->spec->need * static_cast<std::int64_t>(j->active.size());
-  }
-  if (busy.running > 0) {
-    busy.need = {busy.need.cpus / busy.running, 0, 0};
-    out.push_back(busy);
-  }
-  return out;
-}
-
-std::vector<MachineState> Holder::machine_states(Micros now) const {
-  std::vector<MachineState> out;
-  out.reserve(picture_.all.size());
-  for (const Machine* at : picture_.all) {
-    const Machine& m = *at;
-    MachineState s;
-    s.id = m.record.id;
-    s.free = m.free;
-    s.suspect = m.suspect_until > now;
-    s.usable = m.up && m.accounted && !m.leaving && !m.taken_at && !s.suspect && m.drain_until <= now;
-    s.empty = m.tasks.empty() && m.accounted && !m.pushing && !m.leaving;
-    s.lapsed = m.accounted && !m.up;
-    s.idle_ms =
-        static_cast<std::uint32_t>(std::clamp<Micros>((now - m.idle_since) / kMillisecond, 0, 3'600'000));
-    if (!m.tasks.empty()) s.idle_ms = 0;
-    if (m.type && placer_.gpu_wanted(m.type_index)) {  // idle while no GPU task is there
-      s.idle_ms = m.load().gpus ? 0
-                                : static_cast<std::uint32_t>(std::clamp<Micros>(
-                                      (now - m.gpu_idle_since) / kMillisecond, 0, 3'600'000));
-    }
-    s.top_rank = m.load().top;
-    out.push_back(std::move(s));
-  }
-  return out;
-}
-
-std::vector<std::string> Holder::describe() const {
-  std::vector<std::string> out;
-  static constexpr const char* kPhases[] = {"assigned", "sent", "present", "running"};
-  for (const auto& [id, m] : picture_.machines)
-    for (const auto& [key, p] : m.tasks)
-      out.push_back(id + " " + key.first + "/" + std::to_string(key.second) + " " +
-                    (p.halting ? "halting" : kPhases[static_cast<int>(p.phase)]));
-  return out;
-}
-
 }  // namespace aspenwick::share
--- /dev/null
+++ b/src/share/holder_answers.cpp
@@ -0,0 +1,140 @@
+// What a holder tells others: a job's tally, waiting work and machines for the leader, everything for traces.
+#include <algorithm>
+
+#include "share/holder.h"
+
+namespace aspenwick::share {
+
+using wire::Rank;
+using wire::Shape;
+
+namespace {
+constexpr std::size_t kMostDemands = 64;
+}  // namespace
+
+std::optional<std::pair<std::uint32_t, std::uint32_t>> Holder::tally(const std::string& id) const {
+  auto it = picture_.jobs.find(id);
+  if (it == picture_.jobs.end()) return {};
+  std::uint32_t running = 0;
+  for (const auto& [index, machine] : it->second->active) {
+    auto p = machine->tasks.find({id, index});
+    if (p != machine->tasks.end() && p->second.phase == Phase::running) ++running;
+  }
+  return std::pair{it->second->done.count(), running};
+}
+
+std::size_t Holder::waiting() const {
+  std::size_t n = 0;
+  for (const auto& [id, j] : picture_.jobs)
+    if (!j->withdrawn && !j->finished) n += j->waiting();
+  return n;
+}
+
+std::vector<Demand> Holder::demands(Micros now) const {
+  std::vector<Demand> out;
+  for (Job* j : placer_.ordered_jobs(now)) {
+    if (out.size() >= kMostDemands) break;
+    std::int64_t waiting = j->waiting();
+    const wire::Team* t = placer_.quota().team(j->spec->team);
+    auto use = picture_.team_use.find(j->spec->team);
+    if (t && use != picture_.team_use.end()) {
+      if (t->limit.gpus > 0 && j->spec->need.gpus > 0)
+        waiting = std::min(waiting, (t->limit.gpus - use->second.gpus) / j->spec->need.gpus);
+      if (t->limit.cpus > 0 && j->spec->need.cpus > 0)
+        waiting = std::min(waiting, (t->limit.cpus - use->second.cpus) / j->spec->need.cpus);
+    }
+    if (waiting <= 0 || now < j->not_before) continue;
+    Demand d;
+    d.need = j->spec->need;
+    d.types = 0;
+    for (std::size_t i = 0; i < types_.size() && i < 64; ++i)
+      if (j->kind->first.types[i]) d.types |= 1ULL << i;
+    if (j->spec->zone) {
+      auto z = std::find(platform_.zones.begin(), platform_.zones.end(), *j->spec->zone);
+      d.zone = static_cast<std::uint8_t>(z - platform_.zones.begin());
+    }
+    if (j->spec->spread || j->spec->one_zone) {
+      d.per_zone = j->spec->spread ? (j->spec->tasks + 1) / 2 : 0;
+      for (std::size_t z = 0; z < platform_.zones.size() && z < 32; ++z) {
+        const int n = j->tasks_in(zones_[z]);
+        const bool closed =
+            j->spec->spread ? n >= static_cast<int>(d.per_zone) : !j->active.empty() && n == 0;
+        if (closed) d.closed_zones |= 1U << z;
+      }
+    }
+    d.rank = placer_.rank_now(*j, now);
+    d.shape = j->spec->shape;
+    d.spot = j->spec->spot;
+    d.waiting = static_cast<std::uint32_t>(waiting);
+    d.running = static_cast<std::uint32_t>(j->active.size());
+    d.slack_ms =
+        static_cast<std::uint32_t>(std::clamp<Micros>(placer_.slack(*j, now) / kMillisecond, 0, 3'600'000));
+    d.guess_ms = static_cast<std::uint32_t>(std::clamp(place::Placer::run_time(*j) * 1000, 0.0, 3.6e6));
+    d.one_zone = j->spec->one_zone;
+    d.plain_only = placer_.await_plain(*j, now);
+    // Jobs that are alike are told as one: with ninety services waiting the rest would not be heard of.
+    if (d.shape == wire::Shape::service) {
+      auto same = std::find_if(out.begin(), out.end(), [&](const Demand& o) {
+        return o.shape == d.shape && o.need == d.need && o.types == d.types && o.zone == d.zone &&
+               o.rank == d.rank && o.spot == d.spot && o.one_zone == d.one_zone &&
+               o.plain_only == d.plain_only && o.closed_zones == d.closed_zones &&
+               (o.per_zone > 0) == (d.per_zone > 0) && !d.one_zone;
+      });
+      if (same != out.end()) {
+        same->waiting += d.waiting, same->running += d.running, same->per_zone += d.per_zone;
+        continue;
+      }
+    }
+    out.push_back(d);
+  }
+  // What runs of low arrays that have nothing waiting: its machines are free for others soon.
+  Demand busy;
+  for (const auto& [id, j] : picture_.jobs) {
+    if (j->spec->shape != Shape::array || j->rank >= Rank::high || j->waiting() > 0) continue;
+    busy.running += static_cast<std::uint32_t>(j->active.size());
+    busy.need += j->spec->need * static_cast<std::int64_t>(j->active.size());
+  }
+  if (busy.running > 0) {
+    busy.need = {busy.need.cpus / busy.running, 0, 0};
+    out.push_back(busy);
+  }
+  return out;
+}
+
+std::vector<MachineState> Holder::machine_states(Micros now) const {
+  std::vector<MachineState> out;
+  out.reserve(picture_.all.size());
+  for (const Machine* at : picture_.all) {
+    const Machine& m = *at;
+    MachineState s;
+    s.id = m.record.id;
+    s.free = m.free;
+    s.suspect = m.suspect_until > now;
+    s.usable = m.up && m.accounted && !m.leaving && !m.taken_at && !s.suspect && m.drain_until <= now;
+    s.empty = m.tasks.empty() && m.accounted && !m.pushing && !m.leaving;
+    s.lapsed = m.accounted && !m.up;
+    s.idle_ms =
+        static_cast<std::uint32_t>(std::clamp<Micros>((now - m.idle_since) / kMillisecond, 0, 3'600'000));
+    if (!m.tasks.empty()) s.idle_ms = 0;
+    if (m.type && placer_.gpu_wanted(m.type_index)) {  // idle while no GPU task is there
+      s.idle_ms = m.load().gpus ? 0
+                                : static_cast<std::uint32_t>(std::clamp<Micros>(
+                                      (now - m.gpu_idle_since) / kMillisecond, 0, 3'600'000));
+    }
+    s.top_rank = m.load().top;
+    out.push_back(std::move(s));
+  }
+  return out;
+}
+
+std::vector<std::string> Holder::describe() const {
+  std::vector<std::string> out;
+  static constexpr const char* kPhases[] = {"assigned", "sent", "present", "running"};
+  for (const auto& [id, m] : picture_.machines)
+    for (const auto& [key, p] : m.tasks)
+      out.push_back(id + " " + key.first + "/" + std::to_string(key.second) + " " +
+                    (p.halting ? "halting" : kPhases[static_cast<int>(p.phase)]));
+  return out;
+}
+
+}  // namespace aspenwick::share
--- /dev/null
+++ b/src/share/holder_records.cpp
@@ -0,0 +1,120 @@
+// A holder's part in the state service: rows of finished tasks, read after a takeover and written as they
+// come.
+#include <algorithm>
+#include <charconv>
+
+#include "share/holder.h"
+
+namespace aspenwick::share {
+
+void Holder::merge_row(Job& j, std::uint32_t row, const std::string& text) {
+  if (row >= kUnitRows) {
+    j.recorded.merge_unit(row - kUnitRows, text);
+  } else {
+    j.recorded.merge_chunk(row, text);
+    j.recorded_whole.merge_chunk(row, text);
+  }
+}
+
+void Holder::load_done(const std::string& job, std::uint32_t row, const std::string& text,
+                       std::uint64_t version) {
+  auto it = picture_.jobs.find(job);
+  if (it == picture_.jobs.end()) return;
+  Job& j = *it->second;
+  if (row >= kUnitRows ? row - kUnitRows >= j.done.chunks() * DoneSet::kUnitsInChunk : row >= j.done.chunks())
+    return;
+  row >= kUnitRows ? j.done.merge_unit(row - kUnitRows, text) : j.done.merge_chunk(row, text);
+  merge_row(j, row, text);
+  j.row_versions[row] = version;
+}
+
+std::vector<Holder::DoneWrite> Holder::done_writes(std::size_t most) {
+  std::vector<DoneWrite> out;
+  if (most == 0) return out;
+  // Most unrecorded results first: in the order of names some jobs would never have their turn.
+  std::vector<Job*> dirty;
+  for (auto& [id, j] : picture_.jobs)
+    if (!j->withdrawn && !j->finished && !j->committing && !j->done.all() && !j->dirty.empty())
+      dirty.push_back(j.get());
+  std::sort(dirty.begin(), dirty.end(), [](const Job* a, const Job* b) {
+    return a->done.count() - a->recorded.count() > b->done.count() - b->recorded.count();
+  });
+  for (Job* j : dirty) {
+    for (auto it = j->dirty.begin(); it != j->dirty.end() && out.size() < most;) {
+      // A whole chunk while its text fits a value, as all versions read it; after that unit by unit, and the
+      // chunk's row stays as it is: shortened, it would lose what it alone holds.
+      const std::uint32_t chunk = *it / DoneSet::kUnitsInChunk;
+      std::string text = j->done.chunk_text(chunk);
+      const bool whole = text.size() + 2 <= platform_.value_room();
+      const std::uint32_t row = whole ? chunk : kUnitRows + *it;
+      if (!whole) text = j->done.unit_text(*it);
+      if (j->in_flight.contains(row)) {
+        ++it;
+        continue;
+      }
+      out.push_back({j->id, row, std::move(text), j->row_versions[row]});
+      j->in_flight.insert(row);
+      const auto next = whole ? j->dirty.lower_bound((chunk + 1) * DoneSet::kUnitsInChunk) : std::next(it);
+      it = j->dirty.erase(it, next);
+    }
+  }
+  return out;
+}
+
+bool Holder::surely_recorded(const Job& j, std::uint32_t index) const {
+  return j.recorded_whole.test(index) || (all_read_units_ && j.recorded.test(index));
+}
+
+std::string Holder::row_name(std::uint32_t row) {
+  std::string name = row >= kUnitRows ? "u/" : "";
+  return name += std::to_string(row >= kUnitRows ? row - kUnitRows : row);
+}
+
+std::optional<std::pair<std::string, std::uint32_t>> Holder::parse_row_name(const std::string& name) {
+  auto slash = name.rfind('/');
+  std::uint32_t n = 0;
+  if (slash == std::string::npos) return {};
+  const char* end = name.data() + name.size();
+  if (auto [p, ec] = std::from_chars(name.data() + slash + 1, end, n);
+      ec != std::errc{} || p != end || n >= kUnitRows)
+    return {};
+  if (!name.substr(0, slash).ends_with("/u")) return std::pair{name.substr(0, slash), n};
+  return std::pair{name.substr(0, slash - 2), n + kUnitRows};
+}
+
+void Holder::done_written(const DoneWrite& w, bool ok, std::uint64_t version) {
+  auto it = picture_.jobs.find(w.job);
+  if (it == picture_.jobs.end()) return;
+  Job& j = *it->second;
+  j.in_flight.erase(w.row);
+  j.row_versions[w.row] = version;
+  if (ok) return merge_row(j, w.row, w.text);
+  if (w.row >= kUnitRows) j.dirty.insert(w.row - kUnitRows);
+  for (std::uint32_t u = 0; w.row < kUnitRows && u < DoneSet::kUnitsInChunk; ++u) {
+    const std::uint32_t unit = w.row * DoneSet::kUnitsInChunk + u;
+    if (j.done.unit_text(unit) != j.recorded.unit_text(unit)) j.dirty.insert(unit);
+  }
+}
+
+std::vector<std::string> Holder::complete_jobs() const {
+  std::vector<std::string> out;
+  for (const auto& [id, j] : picture_.jobs)
+    if (!j->withdrawn && !j->finished && !j->committing && j->done.all() && j->in_flight.empty())
+      out.push_back(id);
+  return out;
+}
+
+std::vector<std::string> Holder::done_keys(const std::string& job) const {
+  std::vector<std::string> out;
+  auto it = picture_.jobs.find(job);
+  if (it == picture_.jobs.end()) return out;
+  for (const auto& [row, version] : it->second->row_versions)
+    if (version != 0) out.push_back(job + "/" + row_name(row));
+  return out;
+}
+
+void Holder::set_committing(const std::string& job, bool on) {
+  if (auto it = picture_.jobs.find(job); it != picture_.jobs.end()) it->second->committing = on;
+}
+
+}  // namespace aspenwick::share
--- a/src/share/peer_frame.cpp
+++ b/src/share/peer_frame.cpp
@@ -180,6 +180,25 @@
   return head.take() + payload;
 }
 
+std::vector<std::string> encode_gossip(const Gossip& whole) {
+  std::string bytes = encode(whole);
+  if (bytes.size() <= kMaxFrame) return {std::move(bytes)};
+  if (whole.shares.empty()) return {};
+  std::vector<std::string> out;
+  Gossip part = whole;
+  if (whole.shares.size() == 1) {
+    auto& machines = part.shares[0].machines;
+    machines.resize(machines.size() / 2);
+    return machines.empty() ? out : encode_gossip(part);
+  }
+  const auto half = whole.shares.begin() + static_cast<std::ptrdiff_t>(whole.shares.size() / 2);
+  part.shares.assign(whole.shares.begin(), half);
+  out = encode_gossip(part);
+  part.shares.assign(half, whole.shares.end());
+  for (auto& frame : encode_gossip(part)) out.push_back(std::move(frame));
+  return out;
+}
+
 std::size_t frame_length(const std::string& header) {
   Reader r(header, 0);
   if (r.num<std::uint16_t>() != kFrameMagic) throw BadFrame("not a frame");
--- a/src/share/peer_frame.h
+++ b/src/share/peer_frame.h
@@ -50,6 +50,9 @@
 using Frame = std::variant<Gossip, ReleaseAsk, StatusAsk, StatusTell, WithdrawnTell>;
 
 std::string encode(const Frame& frame);
+/// The same in as many frames as their bound asks for, one if it can be: each with some of the shares. A
+/// share that none holds is told with as many of its machines as fit.
+std::vector<std::string> encode_gossip(const Gossip& whole);
 
 struct BadFrame : std::runtime_error {
   using std::runtime_error::runtime_error;
--- a/src/share/peer_link.cpp
+++ b/src/share/peer_link.cpp
@@ -119,7 +119,9 @@
   }
 }
 
-bool PeerLink::send(const std::string& node, const Frame& frame) {
+bool PeerLink::send(const std::string& node, const Frame& frame) { return send_bytes(node, encode(frame)); }
+
+bool PeerLink::send_bytes(const std::string& node, const std::string& bytes) {
   auto it = out_.find(node);
   if (it == out_.end()) {
     if (peers_.contains(node)) connect(node);
@@ -131,13 +133,14 @@
     drop(c);
     return false;
   }
-  const std::string bytes = encode(frame);
   bufferevent_write(c->bev, bytes.data(), bytes.size());
   return true;
 }
 
-void PeerLink::broadcast(const Frame& frame) {
-  for (const auto& [node, endpoint] : peers_) send(node, frame);
+void PeerLink::broadcast(const Frame& frame) { broadcast_bytes(encode(frame)); }
+
+void PeerLink::broadcast_bytes(const std::string& frame) {
+  for (const auto& [node, endpoint] : peers_) send_bytes(node, frame);
 }
 
 }  // namespace aspenwick::share
--- a/src/share/peer_link.h
+++ b/src/share/peer_link.h
@@ -27,8 +27,10 @@
 
   bool send(const std::string& node, const Frame& frame);  // false: no connection now
   void broadcast(const Frame& frame);
+  void broadcast_bytes(const std::string& frame);
 
  private:
+  bool send_bytes(const std::string& node, const std::string& bytes);
   struct Connection;
   void connect(const std::string& node);
   void drop(Connection* c);
--- a/tests/frame_test.cpp
+++ b/tests/frame_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <map>
 #include <random>
 
 #include "share/peer_frame.h"
@@ -66,6 +67,28 @@
   EXPECT_THROW(decode(type), BadFrame);
 }
 
+TEST(Frame, GossipThatOneFrameDoesNotHoldGoesInSeveral) {
+  // A longer frame makes the peer drop the connection: whoever holds thousands of machines would seem dead.
+  Gossip g = full_gossip();
+  const ShareSaid one = g.shares[0];
+  EXPECT_EQ(encode_gossip(g), std::vector<std::string>{encode(g)});  // as ever while it fits
+  g.shares.clear();
+  for (int s = 0; s < 5; ++s) {
+    g.shares.push_back({s, true, one.demands, {}});
+    g.shares.back().machines.assign(s == 4 ? 9000 : 1000, one.machines[0]);
+  }
+  std::map<int, std::size_t> machines;
+  for (const auto& frame : encode_gossip(g)) {
+    EXPECT_LE(frame.size(), kMaxFrame);
+    const auto part = std::get<Gossip>(decode(frame));
+    EXPECT_EQ(part.lease, g.lease);
+    EXPECT_EQ(part.state_ok, g.state_ok);
+    for (const auto& s : part.shares) machines[s.share] = s.machines.size();
+  }
+  for (int s = 0; s < 4; ++s) EXPECT_EQ(machines[s], 1000U);
+  EXPECT_GT(machines[4], 2000U);  // as many as fit
+}
+
 TEST(Frame, DamageNeverDoesMoreThanThrow) {
   std::mt19937 random(11);
   const std::string good = encode(full_gossip());
--- a/tests/renter_test.cpp
+++ b/tests/renter_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "fixtures.h"
 
 namespace aspenwick::fleet {
@@ -71,6 +73,38 @@
   EXPECT_EQ(late[0].machines, std::vector<std::string>{"i-000001"});
 }
 
+TEST_F(RenterTest, AShareWithFarMoreWorkInHandGetsMachinesThatRunEmpty) {
+  // Machines on which a share's own short work comes and goes are hardly ever empty: without this, a share
+  // that was first kept hundreds while thousands of tasks waited in another.
+  ShareSaid rich{0, true, {demand(2, 0, true, wire::Rank::low)}, {}};
+  rich.demands[0].running = 30;
+  for (int i = 0; i < 10; ++i) {
+    auto m = machine("i-00000" + std::to_string(i), 0, 0);
+    m.empty = false;
+    m.free.cpus -= wire::to_units(i < 5 ? 2 : 8);  // the later ones are full
+    if (i == 0) m.top_rank = wire::Rank::production;
+    rich.machines.push_back(m);
+  }
+  ShareSaid poor{1, true, {demand(2, 500, true, wire::Rank::low)}, {}};
+  poor.demands[0].running = 10;
+  auto moves = only<Move>(renter_.tick(now_, {rich, poor}, records_));
+  ASSERT_FALSE(moves.empty());
+  EXPECT_LE(moves.size(), 2U);  // a few at a time
+  EXPECT_EQ(moves[0].to, 1);
+  EXPECT_TRUE(moves[0].drain);
+  EXPECT_EQ(moves[0].rank, wire::Rank::low);  // nothing is stopped for it
+  EXPECT_EQ(moves[0].machine, "i-000001");    // not that which a replica keeps, nor a full one
+  std::set<std::string> given;
+  for (int i = 0; i < 60; ++i)
+    for (const auto& m : only<Move>(renter_.tick(now_ += kSecond / 2, {rich, poor}, records_)))
+      given.insert(m.machine);
+  EXPECT_LE(given.size(), 4U);  // half of what it has, at most, and never full ones
+  // Not while the share that would give has nearly as much in hand.
+  Renter other{platform_, types_, {}};
+  rich.demands[0].waiting = 900;
+  EXPECT_TRUE(only<Move>(other.tick(now_, {rich, poor}, records_)).empty());
+}
+
 TEST_F(RenterTest, AnEmptyMachineMovesToWorkThatWaits) {
   const ShareSaid idle{0, true, {}, {machine("i-000001", 0, 3 * kSecond)}};
   const ShareSaid busy{1, true, {demand(2, 4, true, wire::Rank::low)}, {}};
