--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -12,7 +12,6 @@
 namespace {
 constexpr Micros kHoldRoom = 3 * kSecond;  // for what it was made
 constexpr Micros kAwaitPlain = 4 * kSecond;
-constexpr Micros kDefaultWait = 60 * kSecond;
 constexpr Micros kWorthMoving = 75 * kSecond;  // left of a gang, at least
 constexpr Micros kPressedToStart = 20 * kSecond;
 constexpr Micros kPressed = 40 * kSecond;
@@ -293,6 +292,7 @@
   std::stable_sort(found.begin(), found.end(),
                    [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<int> out;
+  out.reserve(found.size());
   for (const auto& [n, zone] : found) out.push_back(zone);
   return out;
 }
