Long passes are split; a share's epoch is raised in place before its numbers end

Cause: attempts are numbered epoch.counter with 20 bits for the counter. After a million starts in one epoch the next numbers are those of the following epoch: a gang of it could meet tasks of an old attempt, and a late order could pass for a new one. Found by reading, while the pass was split.

Change: nothing is started beyond the last number, and at half of them Keeper changes the share's key to a higher epoch in place: same lease, guarded by the key and its counter, the holder and its picture stay. Holders are told apart by when they were made, no longer by their epoch. And a pass stops after about 1,000 starts and goes on in 15 ms, so that leases and reports come in between (tests/long_pass_test.cpp).

Excluded: wider counters, since attempts of old and new processes must stay in order during a roll; giving the share away and back, which costs a takeover.

--- a/bench/scale_bench.cpp
+++ b/bench/scale_bench.cpp
@@ -1,6 +1,7 @@
 // What one node's decisions cost by the number of machines in its hand: a finished task in the learner, a
 // report, a planning pass, gossip, a takeover, a cold start. docs/scale.md keeps the curves.
 #include <benchmark/benchmark.h>
+#include <malloc.h>
 #include <spdlog/spdlog.h>
 
 #include <random>
@@ -100,7 +101,8 @@
     if (empty) return;
     const auto room = static_cast<std::uint32_t>(n) * kCpus;
     add_jobs(room, 100);
-    holder->tick(now, true);
+    while (holder->tick(now, true)) {
+    }
     for (auto& r : reports) report(r);
     now += kSecond;
     for (auto& r : reports) {
@@ -158,6 +160,18 @@
   }
 }
 
+/// The text of a report with as many running tasks.
+void ReadReport(benchmark::State& state) {
+  std::string body =
+      R"({"rig":"i-000231","endpoint":"10.1.0.232:9000","rigtype":"plain-16","site":"east","loaner":false,)"
+      R"("stint":1,"tally":88,"baton":1048576,"pieces":[)";
+  for (std::int64_t i = 0; i < state.range(0); ++i)
+    body += std::string(i ? "," : "") + R"({"piece":"j-00412)" + std::to_string(i) + "/" + std::to_string(i) +
+            R"(","try":1048577,"status":"running"})";
+  body += "]}";
+  for (auto _ : state) benchmark::DoNotOptimize(wire::parse_report(body));
+}
+
 /// A report with a finished task, read from its text, and the pass that follows it.
 void FinishedTask(benchmark::State& state) {
   World w(state.range(0), 50'000);
@@ -183,7 +197,8 @@
     World w(state.range(0), 0, true);
     w.add_jobs(static_cast<std::uint32_t>(state.range(0)) * kCpus, 100);
     state.ResumeTiming();
-    w.holder->tick(w.now, true);
+    while (w.holder->tick(w.now, true)) {
+    }
   }
   state.counters["per_task"] =
       benchmark::Counter(static_cast<double>(state.range(0) * kCpus),
@@ -193,7 +208,8 @@
 /// Nothing has changed since the pass before, and everything is full.
 void IdlePass(benchmark::State& state) {
   World w(state.range(0), 50'000);
-  w.holder->tick(w.now, true);
+  while (w.holder->tick(w.now, true)) {
+  }
   for (auto _ : state) {
     w.now += 15 * kMillisecond;
     w.holder->tick(w.now, true);
@@ -216,6 +232,7 @@
 /// From the first machine and job told to all of them accounted for, with the tasks found running.
 void Takeover(benchmark::State& state) {
   World before(state.range(0));
+  const std::size_t heap = mallinfo2().uordblks;
   for (auto _ : state) {
     Holder h(
         before.settings, before.machine_types, share::HolderSettings{},
@@ -235,6 +252,7 @@
       h.on_report(r, before.now, true);
     }
     if (!h.rebuilt()) state.SkipWithError("not rebuilt");
+    state.counters["heap_MB"] = static_cast<double>(mallinfo2().uordblks - heap) / 1e6;  // this holder's
   }
 }
 
@@ -290,6 +308,7 @@
 
 #define SIZES ->Arg(200)->Arg(800)->Arg(3200)->Arg(12800)->Unit(benchmark::kMicrosecond)
 BENCHMARK(Lesson) SIZES;
+BENCHMARK(ReadReport)->Arg(1)->Arg(16)->Arg(64);
 BENCHMARK(UnchangedReport) SIZES;
 BENCHMARK(FinishedTask) SIZES;
 BENCHMARK(IdlePass) SIZES;
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -130,9 +130,10 @@
 
 void Controller::tick() {
   tick_soon_ = false;
+  bool more = false;
   for (auto& [s, held] : keeper_.held()) {
     const Micros began = loop_.now();
-    held.holder->tick(began, keeper_.may_start(held));
+    more |= held.holder->tick(began, keeper_.may_start(held));
     planning_.add(loop_.now() - began);
     for (const Micros w : held.holder->take_waits()) waits_.add(w);
   }
@@ -140,6 +141,7 @@
     for (const auto& [machine, to] : held.holder->drained()) recorder_.move_machine(machine, to);
   workers_desk_.push_orders();
   recorder_.tick();
+  if (more) poke();
 }
 
 void Controller::lead() {
--- a/src/app/keeper.cpp
+++ b/src/app/keeper.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 constexpr Micros kLoadAgain = 300 * kMillisecond;
-}
+constexpr Micros kRaiseAgain = kSecond;
+}  // namespace
 
 Keeper::Keeper(const wire::PlatformSettings& platform, const OperatorSettings& settings, Needs needs)
     : platform_(platform), settings_(settings), needs_(std::move(needs)), own_(platform) {}
@@ -76,7 +77,13 @@
   if (!records().synced()) return;
   for (auto it = held_.begin(); it != held_.end();) {
     const HolderKey* key = own_.holder(it->first);
-    if (own_.ours(key) && key->epoch == it->second.epoch) {
+    Held& held = it->second;
+    if (own_.ours(key) && held.raising == key->epoch && held.raising != 0) {
+      spdlog::info("share {}: goes on with epoch {}", it->first, key->epoch);
+      held.epoch = key->epoch, held.key_version = key->version, held.raising = 0;
+      held.holder->raise_epoch(key->epoch);
+    }
+    if (own_.ours(key) && key->epoch == held.epoch) {
       ++it;
       continue;
     }
@@ -87,10 +94,11 @@
     if (const HolderKey* key = own_.holder(s); own_.ours(key) && !held_.contains(s)) make_holder(s, *key);
   const Micros now = needs_.loop.now();
   const auto changed = needs_.records.take_changed_machines();
-  for (auto& [s, held] : held_) {
+  for (auto& [share, held] : held_) {
+    const int s = share;
     share::Holder& h = *held.holder;
-    auto known = [&](const share::MachineRecord& m) {
-      if (m.share == s) h.machine_known(m, m.version > held.key_version, now);
+    auto known = [&h, s, now, taken = held.taken_version](const share::MachineRecord& m) {
+      if (m.share == s) h.machine_known(m, m.version > taken, now);
     };
     for (const auto& id : changed) {
       const auto* m = records().machine(id);
@@ -103,14 +111,15 @@
     }
     for (const auto& [id, m] : records().machines()) known(m);  // new: all of them
     held.loading = false;
-    load_done(s, held.epoch);
+    load_done(s, held.made);
   }
 }
 
 void Keeper::make_holder(int s, const HolderKey& key) {
   Held& held = held_[s];
   held.epoch = key.epoch;
-  held.key_version = key.version;
+  held.key_version = held.taken_version = key.version;
+  held.made = ++made_;
   held.loading = true;
   const auto former = former_.contains(s) ? former_[s] : std::pair<std::string, std::uint64_t>{};
   share::HolderSettings hs;
@@ -128,13 +137,13 @@
 }
 
 /// What its former holders recorded as done, read until the state service answers.
-void Keeper::load_done(int s, std::uint64_t epoch) {
+void Keeper::load_done(int s, std::uint64_t made) {
   const std::string prefix = kProgress + std::to_string(s) + "/";
-  needs_.store.list(prefix, [this, s, epoch, prefix](bool ok, const std::vector<wire::Row>& rows,
-                                                     std::uint64_t) {
-    Held* held = find(s, epoch);
+  needs_.store.list(prefix, [this, s, made, prefix](bool ok, const std::vector<wire::Row>& rows,
+                                                    std::uint64_t) {
+    Held* held = find(s, made);
     if (!held) return;
-    if (!ok) return needs_.loop.later(kLoadAgain, [this, s, epoch] { load_done(s, epoch); });
+    if (!ok) return needs_.loop.later(kLoadAgain, [this, s, made] { load_done(s, made); });
     std::vector<std::string> over;
     for (const auto& r : rows) {
       const auto name = share::Holder::parse_row_name(r.key.substr(prefix.size()));
@@ -155,7 +164,7 @@
     if (record.spec) held.holder->note_gpu_job(*record.spec);
     if (!record.final() && own_.share_of_team(record.spec->team) != share) continue;
     const std::uint64_t since = std::max(record.version, records().graph().ready_version(id));
-    held.holder->job_known(id, record, since > held.key_version, needs_.loop.now(),
+    held.holder->job_known(id, record, since > held.taken_version, needs_.loop.now(),
                            needs_.loop.time_of_day());
     if (!record.final())
       held.holder->set_course(id, records().graph().course(id, record), needs_.loop.now(),
@@ -242,6 +251,31 @@
                       });
 }
 
+/// Before the numbers of an epoch are used up, the share's key gets a higher one in place: same lease, same
+/// holder, no takeover. Whether a try was executed is told by the key; a further try asks for the same epoch,
+/// and the guard lets one of them through.
+void Keeper::raise_epoch(int s, Held& held) {
+  const Micros now = needs_.loop.now();
+  if (held.holder->attempts() < settings_.attempts_per_epoch || held.handing_back || !own_.lease_valid(now) ||
+      now - held.raised < kRaiseAgain)
+    return;
+  held.raised = now;
+  if (held.raising == 0) held.raising = highest_epoch() + 1;
+  const std::string key = kHolder + std::to_string(s), counter = kToken + std::to_string(s);
+  const auto it = tokens_.find(counter);
+  const HolderKey mine{platform_.name, *own_.lease(), held.raising, 0};
+  needs_.store.commit(
+      {{key, held.key_version}, {counter, it == tokens_.end() ? 0 : it->second.second}},
+      {{counter, {{"n", mine.epoch}}, {}, false}, {key, share::holder_to_json(mine), mine.lease, false}},
+      store::Urgency::user,
+      [this, s, made = held.made, mine = HolderKey(mine)](int code, std::uint64_t revision) mutable {
+        if (code != 200 || !find(s, made)) return;
+        mine.version = revision;
+        own_.holder_set(s, mine);
+        sync();
+      });
+}
+
 void Keeper::tick() {
   if (!records().synced()) return;
   renew();
@@ -250,6 +284,7 @@
   for (const int s : own_.to_take(needs_.loop.now())) take_share(s);
   if (own_.take_leader(needs_.loop.now())) take_leader();
   if (auto s = own_.to_hand_back(needs_.loop.now())) hand_back(*s);
+  for (auto& [s, held] : held_) raise_epoch(s, held);
 }
 
 // ---------------------------------------------------------------- what we hold
@@ -259,9 +294,9 @@
   return it == held_.end() ? nullptr : &it->second;
 }
 
-Keeper::Held* Keeper::find(int share, std::uint64_t epoch) {
+Keeper::Held* Keeper::find(int share, std::uint64_t made) {
   Held* held = find(share);
-  return held && held->epoch == epoch ? held : nullptr;
+  return held && held->made == made ? held : nullptr;
 }
 
 bool Keeper::may_start(const Held& held) const {
--- a/src/app/keeper.h
+++ b/src/app/keeper.h
@@ -29,8 +29,13 @@
   };
   struct Held {
     std::unique_ptr<share::Holder> holder;  // never empty
-    std::uint64_t epoch = 0;
-    std::uint64_t key_version = 0;
+    std::uint64_t made = 0;                 // tells this holder from any other of the share, before and after
+    std::uint64_t epoch = 0;                // of the share's key as it is now
+    std::uint64_t key_version = 0;          // the same; guards what the holder commits
+    std::uint64_t taken_version =
+        0;                      // of the key when the share was taken: what is older was there before us
+    std::uint64_t raising = 0;  // the epoch that we are changing to, perhaps executed; 0: none
+    Micros raised = 0;          // last try
     bool loading = false, handing_back = false;
   };
   Keeper(const wire::PlatformSettings& platform, const OperatorSettings& settings, Needs needs);
@@ -54,7 +59,7 @@
   const std::map<int, Held>& held() const { return held_; }
   /// nullptr: not held (any more).
   Held* find(int share);
-  Held* find(int share, std::uint64_t epoch);
+  Held* find(int share, std::uint64_t made);
   /// Tasks of the share may be started: we surely hold it and are not about to give it away.
   bool may_start(const Held& held) const;
   bool leading() const;
@@ -75,8 +80,9 @@
   void take_share(int share);
   void take_leader();
   void hand_back(int share);
+  void raise_epoch(int share, Held& held);
   void make_holder(int share, const share::HolderKey& key);
-  void load_done(int share, std::uint64_t epoch);
+  void load_done(int share, std::uint64_t made);
   const Records& records() const { return needs_.records; }
 
   const wire::PlatformSettings& platform_;
@@ -88,6 +94,7 @@
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> tokens_;  // counter -> epoch, row's version
   std::set<int> taking_;
   bool taking_leader_ = false, lease_asked_ = false;
+  std::uint64_t made_ = 0;
   Micros renewed_ = 0;
 };
 
--- a/src/app/operator_settings.h
+++ b/src/app/operator_settings.h
@@ -13,6 +13,9 @@
   fleet::RenterSettings renting;
   Micros suspect_for = 60 * kSecond;
   Micros error_backoff = 2 * kSecond;
+  /// A share goes on under a new epoch after so many attempts; not in the YAML, since only the numbers' width
+  /// (place::kAttemptsPerEpoch) asks for it.
+  std::uint64_t attempts_per_epoch = place::kAttemptsPerEpoch / 2;
 };
 
 struct BadSettings : std::runtime_error {
--- a/src/app/recorder.cpp
+++ b/src/app/recorder.cpp
@@ -57,24 +57,24 @@
       puts.push_back({progress_key(s, w.job, w.row), w.text, {}, false});
     }
     needs_.store.commit(std::move(guards), std::move(puts), store::Urgency::background,
-                        [this, s = s, epoch = held.epoch, writes](int code, std::uint64_t revision) {
+                        [this, s = s, made = held.made, writes](int code, std::uint64_t revision) {
                           for (const auto& w : writes) {
-                            Keeper::Held* h = needs_.keeper.find(s, epoch);
+                            Keeper::Held* h = needs_.keeper.find(s, made);
                             if (!h) return;
                             if (code == 200)
                               h->holder->done_written(w, true, revision);
                             else
-                              wrote_done(s, epoch, w);
+                              wrote_done(s, made, w);
                           }
                         });
   }
 }
 
 /// Perhaps executed: the key's version must be read before the next try.
-void Recorder::wrote_done(int s, std::uint64_t epoch, const share::Holder::DoneWrite& w) {
+void Recorder::wrote_done(int s, std::uint64_t made, const share::Holder::DoneWrite& w) {
   needs_.store.get(progress_key(s, w.job, w.row), store::Urgency::read,
-                   [this, s, epoch, w](int code, const wire::Row& row) {
-                     Keeper::Held* h = needs_.keeper.find(s, epoch);
+                   [this, s, made, w](int code, const wire::Row& row) {
+                     Keeper::Held* h = needs_.keeper.find(s, made);
                      if (!h) return;
                      const std::uint64_t version = code == 200 ? row.version : code == 404 ? 0 : w.version;
                      h->holder->done_written(w, false, version);
@@ -88,13 +88,13 @@
       const auto* known = needs_.records.job(id);
       if (!known || known->final()) continue;
       held.holder->set_committing(id, true);
-      finished(s, held.epoch, id);
+      finished(s, held.made, id);
     }
   }
 }
 
-void Recorder::finished(int s, std::uint64_t epoch, const std::string& id) {
-  const Keeper::Held& held = *needs_.keeper.find(s, epoch);
+void Recorder::finished(int s, std::uint64_t made, const std::string& id) {
+  const Keeper::Held& held = *needs_.keeper.find(s, made);
   job::JobRecord record = *needs_.records.job(id);
   record.status = JobStatus::done;
   record.finished = needs_.loop.time_of_day();
@@ -109,7 +109,7 @@
   }
   needs_.store.commit({{holder_key(s), held.key_version}, {kJob + id, record.version}}, std::move(writes),
                       store::Urgency::accept,
-                      [this, s, epoch, id, record, rest](int code, std::uint64_t revision) mutable {
+                      [this, s, made, id, record, rest](int code, std::uint64_t revision) mutable {
                         if (code == 200) {
                           needs_.records.delete_keys(std::move(rest));
                           record.version = revision;
@@ -120,8 +120,8 @@
                           needs_.poke();  // what waited for it starts at once
                           return;
                         }
-                        needs_.loop.later(kFinishAgain, [this, s, epoch, id] {
-                          if (auto* h = needs_.keeper.find(s, epoch)) h->holder->set_committing(id, false);
+                        needs_.loop.later(kFinishAgain, [this, s, made, id] {
+                          if (auto* h = needs_.keeper.find(s, made)) h->holder->set_committing(id, false);
                         });
                       });
 }
--- a/src/app/recorder.h
+++ b/src/app/recorder.h
@@ -33,11 +33,11 @@
 
  private:
   void finish_jobs();
-  void finished(int share, std::uint64_t epoch, const std::string& id);
+  void finished(int share, std::uint64_t made, const std::string& id);
   void withdraw_doomed();
   bool withdraw_doomed(int share, const Keeper::Held& held);
   void write_done();
-  void wrote_done(int share, std::uint64_t epoch, const share::Holder::DoneWrite& write);
+  void wrote_done(int share, std::uint64_t made, const share::Holder::DoneWrite& write);
 
   const wire::PlatformSettings& platform_;
   Needs needs_;
--- a/src/app/workers_desk.cpp
+++ b/src/app/workers_desk.cpp
@@ -85,11 +85,11 @@
 void WorkersDesk::push_orders() {
   for (auto& [share, held] : needs_.keeper.held()) {
     if (!needs_.keeper.may_start(held)) continue;
-    for (const auto& p : held.holder->pushes(needs_.loop.now())) push(share, held.epoch, p);
+    for (const auto& p : held.holder->pushes(needs_.loop.now())) push(share, held.made, p);
   }
 }
 
-void WorkersDesk::push(int share, std::uint64_t epoch, const share::Holder::Push& p) {
+void WorkersDesk::push(int share, std::uint64_t made, const share::Holder::Push& p) {
   wire::Endpoint to;
   try {
     to = wire::parse_endpoint(p.address);
@@ -98,14 +98,14 @@
   }
   needs_.workers.request(net::Method::post, to, "/do", wire::direct_orders(p.token, p.session, p.orders),
                          kPushDeadline,
-                         [this, share, epoch, machine = p.machine](int code, const std::string& body) {
-                           pushed(share, epoch, machine, code, body);
+                         [this, share, made, machine = p.machine](int code, const std::string& body) {
+                           pushed(share, made, machine, code, body);
                          });
 }
 
-void WorkersDesk::pushed(int share, std::uint64_t epoch, const std::string& machine, int code,
+void WorkersDesk::pushed(int share, std::uint64_t made, const std::string& machine, int code,
                          const std::string& body) {
-  Keeper::Held* held = needs_.keeper.find(share, epoch);
+  Keeper::Held* held = needs_.keeper.find(share, made);
   if (!held) return;
   WorkerReport r;
   const WorkerReport* report = nullptr;
--- a/src/app/workers_desk.h
+++ b/src/app/workers_desk.h
@@ -37,8 +37,8 @@
  private:
   void answer(const net::ExchangePtr& x, const wire::WorkerReport& r, bool may_adopt);
   void adopt(const net::ExchangePtr& x, const wire::WorkerReport& r);
-  void push(int share, std::uint64_t epoch, const share::Holder::Push& push);
-  void pushed(int share, std::uint64_t epoch, const std::string& machine, int code, const std::string& body);
+  void push(int share, std::uint64_t made, const share::Holder::Push& push);
+  void pushed(int share, std::uint64_t made, const std::string& machine, int code, const std::string& body);
 
   const wire::PlatformSettings& platform_;
   Needs needs_;
--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -24,6 +24,8 @@
 using wire::Resources;
 
 inline constexpr unsigned kEpochShift = 20;  // tokens and attempts: epoch, then a counter within it
+/// One more would be numbered as an attempt of the next epoch, and might meet one there.
+inline constexpr std::uint64_t kAttemptsPerEpoch = (1ULL << kEpochShift) - 1;
 
 /// A machine as recorded in its share.
 struct MachineRecord {
--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -490,20 +490,23 @@
   return true;
 }
 
-void Placer::place_all(Micros now) {
+bool Placer::place_all(Micros now, std::uint64_t most) {
+  if (attempts_ >= kAttemptsPerEpoch) return true;  // nothing more can be started before the next epoch
+  const std::uint64_t stop = std::min(attempts_ + most, kAttemptsPerEpoch);
   for (Job* j : ordered_jobs(now)) {
+    if (attempts_ >= stop) return false;
     if (!place_allowed(*j) || now < j->not_before) continue;
     if (j->spec->shape == Shape::gang) {
       if (place_gang(*j, now) || !j->active.empty() || j->rank == Rank::low) continue;
       if (!make_gang_room(*j, now) && j->spec->tasks == 1) make_room(*j, now);  // of what others borrowed
       continue;
     }
-    auto place = [&](bool cheap_only) {  // true: all that waits
+    auto place = [&](bool cheap_only) {  // true: all that waits, or enough for one pass
       Fit fit;
       while (auto index = next_task(*j)) {
         if (!place_one(*j, *index, (epoch_ << kEpochShift) + attempts_ + 1, cheap_only, now, fit))
           return false;
-        ++attempts_;
+        if (++attempts_ >= stop) return true;
       }
       return true;
     };
@@ -517,6 +520,7 @@
     if (!coming && stays && !await_plain(*j, now)) place(false);
   }
   if (picture_.rebuilt) move_to_spot(now);
+  return attempts_ < stop;  // the last job may have stopped there
 }
 
 }  // namespace aspenwick::place
--- a/src/place/placer.h
+++ b/src/place/placer.h
@@ -24,7 +24,11 @@
         epoch_(epoch),
         gpu_wanted_(types.size()) {}
 
-  void place_all(Micros now);
+  /// Places what can be placed, in order; false: stopped after about `most` tasks (over 0) with more to do.
+  bool place_all(Micros now, std::uint64_t most);
+  /// Attempts numbered in this epoch; none beyond kAttemptsPerEpoch.
+  std::uint64_t attempts() const { return attempts_; }
+  void raise_epoch(std::uint64_t epoch) { epoch_ = epoch, attempts_ = 0; }
   /// Jobs with waiting tasks, the first to be placed first.
   std::vector<Job*> ordered_jobs(Micros now) const;
   Micros slack(const Job& j, Micros now) const;
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -20,6 +20,8 @@
 constexpr Micros kRepeatHalt = kSecond;
 constexpr Micros kPushAgain = 2 * kSecond;
 constexpr Micros kLookAgain = 200 * kMillisecond;
+constexpr std::uint64_t kMostPlaced =
+    1000;  // in one pass, a few milliseconds: leases and reports wait for it
 constexpr Micros kDefaultWait = 60 * kSecond;
 constexpr Micros kDrainFor = 20 * kSecond;
 }  // namespace
@@ -65,6 +67,13 @@
 }
 std::uint64_t Holder::token(const Machine& m) const { return floor(m) + m.bump; }
 
+void Holder::raise_epoch(std::uint64_t epoch) {
+  if (epoch <= epoch_) return;
+  epoch_ = epoch;
+  placer_.raise_epoch(epoch);
+  picture_.gained();
+}
+
 // ---------------------------------------------------------------- events
 
 void Holder::job_known(const std::string& id, const JobRecord& record, bool fresh, Micros now,
@@ -450,8 +459,8 @@
                picture_.jobs.size());
 }
 
-void Holder::tick(Micros now, bool may_start) {
-  if (!loaded_) return;
+bool Holder::tick(Micros now, bool may_start) {
+  if (!loaded_) return false;
   for (Machine* at : picture_.all) {
     Machine& m = *at;
     if (now >= m.lapse_at && (m.up || !m.accounted)) {
@@ -471,15 +480,16 @@
             picture_.halt(p, p.job->spec->save_time);
         }
   }
-  if (!may_start) return;
+  if (!may_start) return false;
   // A pass costs what changed: what was tried in vain since then isn't tried again, and nothing is where
   // nothing changed. What only time brings (room no longer held, a deadline that presses) is looked for now
   // and then.
   const bool due = now - looked_ >= kLookAgain || now < looked_;
   if (due) looked_ = now, picture_.gained();
-  if (!due && placed_at_ == picture_.changes) return;
-  placer_.place_all(now);
-  placed_at_ = picture_.changes;
+  if (!due && placed_at_ == picture_.changes) return false;
+  const bool whole = placer_.place_all(now, kMostPlaced);
+  if (whole) placed_at_ = picture_.changes;
+  return !whole;
 }
 
 // ---------------------------------------------------------------- giving machines away
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -106,8 +106,9 @@
   std::vector<Push> pushes(Micros now);
   void pushed(const std::string& machine, int status, const wire::WorkerReport* report, Micros now);
 
-  /// Lapses, placement, preemption.
-  void tick(Micros now, bool may_start);
+  /// Lapses, placement, preemption. true: the pass was long and stopped half way; go on soon, after what else
+  /// waits (leases, reports).
+  bool tick(Micros now, bool may_start);
 
   // ---- what is to be recorded
   struct DoneWrite {
@@ -141,6 +142,10 @@
   bool rebuilt() const { return picture_.rebuilt; }
   bool has_machine(const std::string& id) const { return picture_.machines.contains(id); }
   std::uint64_t epoch() const { return epoch_; }
+  /// Attempts numbered in this epoch; from place::kAttemptsPerEpoch on nothing is started.
+  std::uint64_t attempts() const { return placer_.attempts(); }
+  /// The share is held on under a higher epoch, recorded as ours without a moment in between.
+  void raise_epoch(std::uint64_t epoch);
   const place::Rnn& rnn() const { return placer_.rnn(); }
   int share() const { return settings_.share; }
   std::size_t waiting() const;
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -18,8 +18,8 @@
     net::Answered done;
   };
   std::vector<Call> calls;
-  void request(net::Method, const wire::Endpoint&, const std::string& path, const std::string& body,
-               Micros, net::Answered done) override {
+  void request(net::Method, const wire::Endpoint&, const std::string& path, const std::string& body, Micros,
+               net::Answered done) override {
     calls.push_back({path, body, std::move(done)});
   }
   std::vector<Call> take(const std::string& path) {
--- /dev/null
+++ b/tests/long_pass_test.cpp
@@ -0,0 +1,65 @@
+// A pass that would be long is split: leases and reports come in between, and in the end all is placed.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "fixtures.h"
+#include "share/holder.h"
+
+namespace aspenwick::share {
+namespace {
+
+TEST(LongPass, StopsHalfWayAndGoesOnWhereItWas) {
+  const auto platform = wire::parse_settings(testing::settings_json().dump());
+  const auto types = testing::machine_types();
+  std::map<std::string, JobRecord> jobs;
+  Micros now = 1000 * kSecond;
+  Holder holder(
+      platform, types, {}, [&](const std::string& id) { return &jobs.at(id); }, 1, now, now);
+  constexpr int kMachines = 800, kTasks = 2500;  // room for 3,200 tasks
+  for (int i = 0; i < kMachines; ++i) {
+    MachineRecord m;
+    m.id = "i-" + std::to_string(100000 + i), m.address = "127.0.0.1:9", m.type = "cpu8", m.zone = "z1";
+    holder.machine_known(m, true, now);
+  }
+  holder.loaded(now);
+  wire::WorkerReport r;
+  r.address = "127.0.0.1:9", r.type = "cpu8", r.zone = "z1", r.session = 1, r.seq = 1;
+  auto report_all = [&] {
+    std::size_t launched = 0;
+    for (int i = 0; i < kMachines; ++i) {
+      r.machine = "i-" + std::to_string(100000 + i);
+      launched += holder.on_report(r, now, true)->orders.size();
+    }
+    ++r.seq;
+    r.token = std::uint64_t{1} << place::kEpochShift;
+    return launched;
+  };
+  report_all(), report_all();  // the second under our token
+  auto j = testing::job_json();
+  j["pieces"] = kTasks;
+  JobRecord record;
+  record.spec = std::make_shared<JobSpec>(wire::job_from_json(j));
+  jobs[record.spec->id] = record;
+  holder.job_known(record.spec->id, record, false, now, 0);
+
+  std::set<std::size_t> steps;
+  int passes = 1;
+  std::size_t waiting = kTasks;
+  while (holder.tick(now, true)) {
+    ASSERT_LT(++passes, 20);
+    steps.insert(waiting - holder.waiting());
+    waiting = holder.waiting();
+    now += 15 * kMillisecond;
+  }
+  EXPECT_GT(passes, 2);
+  EXPECT_EQ(steps.size(), 1U);  // all as long, but for the last
+  EXPECT_LT(*steps.begin(), kTasks / 2);
+  EXPECT_EQ(holder.waiting(), 0U);
+  EXPECT_EQ(report_all(), static_cast<std::size_t>(kTasks));
+  EXPECT_FALSE(holder.tick(now, true));
+}
+
+}  // namespace
+}  // namespace aspenwick::share
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -177,6 +177,8 @@
         for (const auto& o : a->orders) out_.push_back(show(o));
       }
       say_rebuilt();
+    } else if (event == "raise") {
+      holder_->raise_epoch(static_cast<std::uint64_t>(number("epoch", 2)));
     } else if (event == "tick") {
       holder_->tick(now_, key("lease", "valid") == "valid");
       say_rebuilt();
