One division of room by need, one guess of a run time; behaviour unchanged

Seen in the review of the change: Placer::slots and Renter::rooms_in divided alike, which now is beside wire::Resources; Renter::serve and level each guessed a run time and the work in hand; a 40 s that kRunEmpty already names; a header that got fleet::Move by way of another.

Left: the oracle of tests/report_test.cpp repeats wire.cpp's readers on purpose; find_fit asks for free room before the full test, which is the cheaper order.

--- a/src/app/peer_desk.h
+++ b/src/app/peer_desk.h
@@ -8,6 +8,7 @@
 
 #include "app/keeper.h"
 #include "app/records.h"
+#include "fleet/renter.h"
 #include "net/loop.h"
 #include "share/peers.h"
 #include "store/client.h"
--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -17,13 +17,22 @@
 constexpr double kLargerWorth = 0.02;  // for each doubling
 constexpr Micros kOfferAfter = 6 * kSecond;
 constexpr Micros kDrainTime = 15 * kSecond;
+constexpr std::int64_t kMostRooms = 1'000'000;
+constexpr double kUnknownRun = 30;          // seconds
 constexpr Micros kRunEmpty = 40 * kSecond;  // as long as the holder keeps it from taking more
 constexpr double kRicher = 4;               // so many times the work in hand of another share
 constexpr std::int64_t kFewTasks = 2;
 constexpr std::size_t kLevelPart = 100;  // of all machines, at once
+
 std::string offer(const std::string& type, const std::string& zone, bool spot) {
   return type + " " + zone + (spot ? " spot" : "");
 }
+
+/// Of one task, in seconds.
+double run_time(const share::Demand& d) { return d.guess_ms > 0 ? d.guess_ms / 1e3 : kUnknownRun; }
+
+/// Task seconds still to come, with half of what runs.
+double work_in_hand(const share::Demand& d) { return (d.waiting + 0.5 * d.running) * run_time(d); }
 }  // namespace
 
 std::size_t Renter::type_index(const std::string& name) const {
@@ -97,11 +106,7 @@
 }
 
 std::uint32_t Renter::rooms_in(const share::Demand& d, const wire::Resources& room) const {
-  std::int64_t n = 1'000'000;
-  if (d.need.cpus > 0) n = std::min(n, room.cpus / d.need.cpus);
-  if (d.need.gpus > 0) n = std::min(n, room.gpus / d.need.gpus);
-  if (d.need.memory > 0) n = std::min(n, room.memory / d.need.memory);
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, n));
+  return static_cast<std::uint32_t>(d.need.times_in(room, kMostRooms));
 }
 
 bool Renter::suits(const Want& w, std::size_t type, const std::string& zone, bool spot) const {
@@ -460,11 +465,10 @@
   take_from_lower(plan, w);
   if (urgent) take_booting(plan, w);
   if (can_wait(w.demand)) {
-    const double guess = w.demand.guess_ms > 0 ? w.demand.guess_ms / 1e3 : 30.0;
     // What runs of work that can wait makes room soon, and the earliest takes it first, whichever job it was.
     auto [it, first] = plan.backlogs.try_emplace(w.share);
     if (first) it->second.slots = plan.low_running[w.share];
-    it->second.work += (w.demand.waiting + 0.5 * w.demand.running) * guess;
+    it->second.work += work_in_hand(w.demand);
     it->second.slots += w.fitted;
   }
   rent_for(plan, w);
@@ -486,10 +490,9 @@
   std::map<int, Side> sides;
   for (const Want& w : plan.wants) {
     if (!can_wait(w.demand) || w.demand.need.gpus > 0) continue;
-    const double guess = w.demand.guess_ms > 0 ? w.demand.guess_ms / 1e3 : 30.0;
     Side& s = sides[w.share];
-    s.waiting += w.demand.waiting * guess;
-    s.work += (w.demand.waiting + 0.5 * w.demand.running) * guess;
+    s.waiting += w.demand.waiting * run_time(w.demand);
+    s.work += work_in_hand(w.demand);
     s.slots += w.demand.running;
     if (w.demand.waiting > 0 && (!s.most || w.demand.waiting > s.most->demand.waiting)) s.most = &w;
   }
@@ -551,7 +554,7 @@
         elsewhere += o.free.cpus;
     if (elsewhere < 2 * (total.cpus - r.free.cpus)) continue;
     next_gentle_ = plan.now + settings_.drain_every;
-    draining_[r.id] = {-1, plan.now + 40 * kSecond};
+    draining_[r.id] = {-1, plan.now + kRunEmpty};
     plan.actions.emplace_back(Move{r.id, r.share, -1, true, wire::Rank::low});
   }
   // While ordinary machines of a type are rented, a spot one that is idle for a moment would be missed.
--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -266,12 +266,7 @@
 /// How many tasks of the job `room` holds.
 std::int64_t Placer::slots(const Job& j, const Machine& m, Resources room) const {
   if (!fits(j, m, room)) return 0;
-  const Resources& need = j.spec->need;
-  std::int64_t n = j.spec->tasks;
-  if (need.cpus > 0) n = std::min(n, room.cpus / need.cpus);
-  if (need.gpus > 0) n = std::min(n, room.gpus / need.gpus);
-  if (need.memory > 0) n = std::min(n, room.memory / need.memory);
-  return n;
+  return j.spec->need.times_in(room, j.spec->tasks);
 }
 
 /// The zones in which a gang that needs one could start, given the room that `room_of` tells of each machine:
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -1,6 +1,7 @@
 // The formats spoken with users, workers, the cloud and the state service. Protocol names live only here;
 // the rest of the code uses the field's terms. Clients can use this package too: it has no sockets.
 #pragma once
+#include <algorithm>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -26,6 +27,13 @@
   bool fits_in(const Resources& room) const {
     return cpus <= room.cpus && gpus <= room.gpus && memory <= room.memory;
   }
+  /// How often it fits into `room`; `most` if nothing is needed, never less than 0.
+  std::int64_t times_in(const Resources& room, std::int64_t most) const {
+    if (cpus > 0) most = std::min(most, room.cpus / cpus);
+    if (gpus > 0) most = std::min(most, room.gpus / gpus);
+    if (memory > 0) most = std::min(most, room.memory / memory);
+    return std::max<std::int64_t>(0, most);
+  }
   Resources& operator+=(const Resources& o) {
     cpus += o.cpus, gpus += o.gpus, memory += o.memory;
     return *this;
