--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -250,7 +250,7 @@
 }
 
 // Three nodes, two of them refused by the state service: their shares must not wait for homes that can't take
-// them, nor may those two send workers to each other by keys that are gone.
+// them.
 TEST_F(NodeTest, TheOnlyNodeThatTheStoreAnswersHoldsAllSoon) {
   SmallWorld w;
   w.run_time = 600 * kSecond;
