GPU services that may not use spot machines take the room that is made for them

Ordinary machines were a dear tier for all GPU work, so production first made room and then refused it, pass after pass, until nothing lower was left to stop; only then it took what there was. Change: work that may not use spot machines has one tier.

--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -199,7 +199,8 @@
 /// tier that has room. A long-running task on a GPU machine that it does not need would keep it rented.
 int Placer::dearness(const Job& j, const Machine& m) const {
   if (j.spec->need.gpus == 0) return m.type->total.gpus > 0 ? 1 : 0;
-  return m.spot ? 0 : 1;
+  // What may not use spot machines has no cheaper tier to wait for, and none to make room in.
+  return m.spot || !j.spec->spot ? 0 : 1;
 }
 
 /// How soon a task could start there: 2 with its image, 1 while another task fetches it.
