Long fetches: room is made where the image is rather than started where there is room

A replica or gang went wherever there was room and fetched, while low work ran on machines that hold its image. Change: work of rank high and above whose image takes over 10 s and over a quarter of its class's time to start goes first where the image is and there is room, then makes room among those, and only then goes elsewhere. Gangs: whole, in one zone, or not that way.

--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -17,7 +17,10 @@
 constexpr Micros kPressed = 40 * kSecond;
 constexpr Micros kMoveAgain = 90 * kSecond;
 constexpr Micros kMoveTime = 15 * kSecond;
-constexpr int kAimingPasses = 3;  // what makes way in one aims lower in the next
+constexpr int kWarm = 2;             // see warmth()
+constexpr double kLongFetch = 10;    // seconds: more than lower work loses by making way
+constexpr double kFetchPart = 0.25;  // of the time in which a task should start
+constexpr int kAimingPasses = 3;     // what makes way in one aims lower in the next
 }  // namespace
 
 void Placer::note_gpu_job(const JobSpec& spec) {
@@ -213,6 +216,16 @@
   });
 }
 
+/// Fetching its image takes so long that it would hardly start in time: it makes room where the image is
+/// rather than start where there is room.
+bool Placer::image_first(const Job& j) const {
+  if (j.rank < Rank::high || j.spec->image.empty()) return false;
+  double slowest = 0;
+  for (std::size_t i = 0; i < types_.size(); ++i)
+    if (j.kind->first.types[i]) slowest = std::max(slowest, j.spec->image_gb / types_[i].fetch_gb_per_s);
+  return slowest > std::max(kLongFetch, kFetchPart * to_seconds(j.start_within));
+}
+
 /// Production keeps a machine rented for long. For the few seconds in which the leader may drain one without
 /// GPUs elsewhere it waits, rather than settle on a dear one; where plain machines are all taken, longer
 /// would be in vain.
@@ -271,6 +284,7 @@
   int warm = 0;
   for (Found& f : found) f.warmth = warmth(j, *f.machine), warm = std::max(warm, f.warmth);
   fit.machines.clear(), fit.neurons.clear();
+  warm = std::max(warm, fit.least_warmth);
   std::erase_if(found, [&](const Found& f) { return f.warmth < warm; });
   // What stays goes where something stays already: scattered, it would tie every machine to its share, and
   // their rooms would be of no use to the others.
@@ -290,7 +304,8 @@
   if (fit.machines.empty()) {
     // In vain for all jobs alike, until there is more room. Zones and machines that one job avoids are its
     // own.
-    const bool alike = !j.spec->spread && !j.spec->one_zone && j.bad_machines.empty() && fit.zone < 0;
+    const bool alike = !j.spec->spread && !j.spec->one_zone && j.bad_machines.empty() && fit.zone < 0 &&
+                       fit.least_warmth == 0;
     auto& room = j.kind->second.room[static_cast<std::size_t>(j.rank)];
     auto& cheap = j.kind->second.cheap_room[static_cast<std::size_t>(j.rank)];
     const auto gains = picture_.gains_for(j.kind->first);
@@ -352,16 +367,19 @@
   return out;
 }
 
-bool Placer::place_gang(Job& j, Micros now) {
+bool Placer::place_gang(Job& j, Micros now, int least_warmth) {
   // Old attempts must be gone before the new one starts.
   if (!j.active.empty() || !quota_.within_limit(j, j.spec->tasks)) return false;
   // In vain for gangs alike that are as large. One that goes to spot machines looks for less than they do.
   auto& tried = j.kind->second.gang_room[static_cast<std::size_t>(j.rank)];
   const auto gains = picture_.gains_for(j.kind->first);
   if (tried.holds(gains, j.spec->need, j.spec->tasks)) return false;
-  const auto zones = gang_zones(j, now, [](const Machine& m) { return m.free; });
+  const auto zones = gang_zones(j, now, [&](const Machine& m) {
+    return least_warmth == 0 || warmth(j, m) >= least_warmth ? m.free : Resources{};
+  });
   if (zones.empty()) {
-    if (j.bad_machines.empty() && j.to_spot_until <= now) tried.note(gains, j.spec->need, j.spec->tasks);
+    if (j.bad_machines.empty() && j.to_spot_until <= now && least_warmth == 0)
+      tried.note(gains, j.spec->need, j.spec->tasks);
     return false;
   }
   const std::uint64_t attempt = (epoch_ << kEpochShift) + attempts_ + 1;
@@ -369,6 +387,7 @@
   if (j.began == 0) j.began = now;
   Fit fit;
   fit.zone = zones.front();
+  fit.least_warmth = least_warmth;
   for (std::uint32_t i = 0; i < j.spec->tasks; ++i) {
     if (j.done.test(i)) continue;
     if (place_one(j, i, attempt, false, now, fit)) continue;
@@ -426,12 +445,13 @@
 }
 
 /// Stops lower ranks on as many machines of one zone as the whole gang needs, or on none.
-bool Placer::make_gang_room(Job& j, Micros now) {
+bool Placer::make_gang_room(Job& j, Micros now, int least_warmth) {
   if (!j.active.empty() || !quota_.within_limit(j, j.spec->tasks)) return false;
   auto& tried = j.kind->second.gang_to_stop[static_cast<std::size_t>(j.rank)];
   if (tried.holds(picture_.changes, j.spec->need, j.spec->tasks)) return false;
   auto below = [&](const Placed& p) { return p.job && p.job->rank < j.rank; };
   auto room_of = [&](const Machine& m) {
+    if (least_warmth > 0 && warmth(j, m) < least_warmth) return Resources{};
     Resources room = m.free;
     if (const auto& load = m.load(); !load.halting && (!load.any || load.lowest >= j.rank)) return room;
     for (const auto& [key, p] : m.tasks)
@@ -440,7 +460,7 @@
   };
   const auto zones = gang_zones(j, now, room_of);
   if (zones.empty()) {
-    if (j.bad_machines.empty() && j.to_spot_until <= now)
+    if (j.bad_machines.empty() && j.to_spot_until <= now && least_warmth == 0)
       tried.note(picture_.changes, j.spec->need, j.spec->tasks);
     return false;
   }
@@ -479,7 +499,7 @@
   return true;
 }
 
-bool Placer::make_room(Job& j, Micros now) {
+Placer::Room Placer::make_room(Job& j, Micros now, int least_warmth) {
   std::int64_t missing = j.waiting();
   // What is unseen counts against the guarantee too: until it is seen nobody borrows.
   const bool guaranteed = picture_.rebuilt && quota_.within_guarantee(j);
@@ -489,10 +509,11 @@
     missing = std::min(missing, j.spec->need.gpus > 0 ? (g.gpus - use.gpus) / j.spec->need.gpus
                                                       : (g.cpus - use.cpus) / j.spec->need.cpus);
   }
-  if (!quota_.within_limit(j, 1)) return false;
-  const bool alike = !j.spec->spread && !j.spec->one_zone && j.bad_machines.empty() && !guaranteed;
+  if (!quota_.within_limit(j, 1)) return Room::none;
+  const bool alike =
+      !j.spec->spread && !j.spec->one_zone && j.bad_machines.empty() && !guaranteed && least_warmth == 0;
   auto& tried = j.kind->second.to_stop[static_cast<std::size_t>(j.rank)];
-  if (!guaranteed && tried.holds(picture_.changes, j.spec->need)) return false;
+  if (!guaranteed && tried.holds(picture_.changes, j.spec->need)) return Room::none;
   Machine* best = nullptr;
   std::vector<Placed*> best_victims;
   double best_loss = 0;
@@ -501,13 +522,14 @@
     const auto& load = m.load();
     const bool can_stop = load.any && (load.lowest < j.rank || guaranteed);
     if ((!can_stop && !load.halting) || !machine_allowed(j, m, now) || !zone_open(j, m)) continue;
+    if (least_warmth > 0 && warmth(j, m) < least_warmth) continue;
     Resources coming = m.free;
     if (load.halting) {
       for (const auto& [key, p] : m.tasks)
         if (p.halting) coming += p.need;
       // room that is already on its way
       while (missing > 0 && fits(j, m, coming)) coming -= j.spec->need, --missing;
-      if (missing <= 0) return false;
+      if (missing <= 0) return Room::coming;
     }
     if (!can_stop) continue;
     std::vector<Placed*> low;
@@ -531,7 +553,7 @@
   }
   if (!best) {
     if (alike) tried.note(picture_.changes, j.spec->need);
-    return false;
+    return Room::none;
   }
   best->held_for = j.rank;
   best->held_until = now + kHoldRoom;
@@ -543,7 +565,13 @@
     else
       picture_.halt(*p, grace);
   }
-  return true;
+  return Room::made;
+}
+
+/// A gang: placed whole, or lower ranks stopped for it.
+bool Placer::place_or_make_room(Job& j, Micros now, int least_warmth) {
+  if (place_gang(j, now, least_warmth) || !j.active.empty()) return true;
+  return j.rank > Rank::low && make_gang_room(j, now, least_warmth);
 }
 
 bool Placer::place_all(Micros now, std::uint64_t most) {
@@ -554,12 +582,14 @@
     if (attempts_ >= stop) return false;
     if (!place_allowed(*j) || now < j->not_before) continue;
     if (j->spec->shape == Shape::gang) {
-      if (place_gang(*j, now) || !j->active.empty() || j->rank == Rank::low) continue;
-      if (!make_gang_room(*j, now) && j->spec->tasks == 1) make_room(*j, now);  // of what others borrowed
+      if (image_first(*j) && place_or_make_room(*j, now, kWarm)) continue;
+      if (!place_or_make_room(*j, now, 0) && j->rank > Rank::low && j->spec->tasks == 1)
+        make_room(*j, now, 0);  // of what others borrowed
       continue;
     }
-    auto place = [&](bool cheap_only) {  // true: all that waits, or enough for one pass
+    auto place = [&](bool cheap_only, int least_warmth = 0) {  // true: all that waits, or enough for one pass
       Fit fit;
+      fit.least_warmth = least_warmth;
       while (auto index = next_task(*j)) {
         if (!place_one(*j, *index, (epoch_ << kEpochShift) + attempts_ + 1, cheap_only, now, fit))
           return false;
@@ -572,9 +602,15 @@
     const bool may_displace =
         rank_now(*j, now) >= Rank::high || (picture_.rebuilt && quota_.within_guarantee(*j));
     const bool stays = j->rank == Rank::production;
+    auto room = [&](int least_warmth) {  // what makes way for it now, or has begun to before
+      Room last = Room::made, any = Room::none;
+      for (std::uint32_t i = 0; i < j->waiting() && i < 8 && last == Room::made; ++i)
+        if (last = make_room(*j, now, least_warmth); last != Room::none) any = std::max(any, last);
+      return any;
+    };
+    if (image_first(*j) && (place(stays, kWarm) || room(kWarm) != Room::none)) continue;
     if (place(stays) || !may_displace) continue;
-    bool coming = false;
-    for (std::uint32_t i = 0; i < j->waiting() && i < 8 && make_room(*j, now); ++i) coming = true;
+    const bool coming = room(0) == Room::made;
     if (!coming && stays && !await_plain(*j, now)) place(false);
   }
   if (picture_.rebuilt) move_to_spot(now);
--- a/src/place/placer.h
+++ b/src/place/placer.h
@@ -61,6 +61,7 @@
   bool fits(const Job& j, const Machine& m, const Resources& free) const;
   int dearness(const Job& j, const Machine& m) const;
   int warmth(const Job& j, const Machine& m) const;
+  bool image_first(const Job& j) const;
   static std::optional<std::uint32_t> next_task(Job& j);
   /// Machines on which a task of one job could start, of the cheapest and warmest tier that has any; spot
   /// ones first, then the fullest. Kept from task to task of the job, since a task changes one of them.
@@ -68,7 +69,8 @@
     std::vector<Machine*> machines;
     std::vector<Rnn::Neuron> neurons;
     int tier = 0;
-    int zone = -1;  // the only one looked at
+    int zone = -1;         // the only one looked at
+    int least_warmth = 0;  // see warmth()
     void insert(Machine* m);
     void keep_if(const std::function<bool(const Machine&)>& wanted);
   };
@@ -78,11 +80,13 @@
   std::int64_t slots(const Job& j, const Machine& m, Resources room) const;
   std::vector<int> gang_zones(const Job& j, Micros now,
                               const std::function<Resources(const Machine&)>& room_of) const;
-  bool place_gang(Job& j, Micros now);
-  bool make_gang_room(Job& j, Micros now);
+  bool place_gang(Job& j, Micros now, int least_warmth);
+  bool make_gang_room(Job& j, Micros now, int least_warmth);
+  bool place_or_make_room(Job& j, Micros now, int least_warmth);
   bool worth_spot(const Job& j, Micros now) const;
   void move_to_spot(Micros now);
-  bool make_room(Job& j, Micros now);
+  enum class Room : std::uint8_t { none, coming, made };
+  Room make_room(Job& j, Micros now, int least_warmth);
 
   const wire::PlatformSettings& platform_;
   const std::vector<wire::MachineType>& types_;
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -124,6 +124,7 @@
       j["cards"] = number("gpus", 0);
       j["guessS"] = number("guess", 30);
       j["bundle"] = key("image", "img");
+      j["sizeGb"] = number("gb", 1);
       if (keys_.contains("due")) j["dueS"] = number("due", 0);
       j["loaner"] = key("spot", "yes") == "yes";
       j["spread"] = key("spread", "no") == "yes";
