A gang that waits in vain for a long fetch leaves the fetch going

Change: after such an end those still fetching go on until they have the image, and are stopped then; the next attempt finds the image on all.

--- a/src/place/picture.cpp
+++ b/src/place/picture.cpp
@@ -78,7 +78,7 @@
   if (!again || j->done.test(p.index)) return;
   j->again.insert(p.index);
   // A gang runs whole or not at all: the rest must be gone before the next attempt.
-  if (j->spec->shape == Shape::gang && !j->active.empty() && p.attempt == j->gang_attempt) stop_gang(*j, 0);
+  if (j->spec->shape == Shape::gang && !j->active.empty() && p.attempt == j->gang_attempt) end_attempt(*j);
 }
 
 void Picture::halt(Placed& p, Micros grace) {
@@ -97,6 +97,18 @@
     if (auto p = machine->tasks.find({j.id, index}); p != machine->tasks.end()) halt(p->second, grace);
 }
 
+/// Those still fetching when the others had waited for too long go on until they have the image, and are
+/// stopped then: a fetch that nobody waits for is given up, and the next attempt would fail the same way, for
+/// ever where an image takes longer than a gang waits.
+void Picture::end_attempt(Job& j) {
+  for (const auto& [index, machine] : j.active) {
+    auto p = machine->tasks.find({j.id, index});
+    if (p == machine->tasks.end()) continue;
+    if (j.incomplete == p->second.attempt && p->second.fetching) continue;
+    halt(p->second, 0);
+  }
+}
+
 void Picture::erase_if_over(const std::string& id) {
   auto it = jobs.find(id);
   if (it != jobs.end() && (it->second->withdrawn || it->second->finished) && it->second->active.empty())
--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -87,6 +87,7 @@
   Resources need;
   Phase phase = Phase::assigned;
   bool halting = false;
+  bool fetching = false;  // its image, when last heard of
   Micros grace = 0;
   bool by_push = false;          // sent by a push rather than in an answer
   std::uint64_t answer_seq = 0;  // the report whose answer carried the launch
@@ -163,6 +164,7 @@
   Micros not_before = 0;
   std::map<std::string, Micros> bad_machines;  // on which it failed, avoided until then
   std::uint64_t gang_attempt = 0;
+  std::uint64_t incomplete = 0;  // the attempt that ended because some were still fetching; they go on
   Micros began = 0;          // a gang's first attempt
   Micros to_spot_until = 0;  // a gang that was stopped to go on on spot machines
   Micros moved = 0;
@@ -201,6 +203,8 @@
   Machine& join(const MachineRecord& record);
   void leave(std::map<std::string, Machine>::iterator it);
   void stop_gang(Job& j, Micros grace);
+  /// The rest of an attempt that has lost a task.
+  void end_attempt(Job& j);
   void erase_if_over(const std::string& id);
   /// A small number for a zone's name, the same while the picture lasts.
   int zone(const std::string& name);
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -248,6 +248,9 @@
     if (t.state != TaskState::fetching && p->second.phase != Phase::running && p->second.job)
       m.used_image(*p->second.job->spec);
     p->second.phase = t.state == TaskState::running ? Phase::running : Phase::present;
+    p->second.fetching = t.state == TaskState::fetching;
+    if (Job* j = p->second.job; j && j->incomplete == t.attempt && !p->second.fetching)
+      picture_.halt(p->second, 0);  // it has the image now, see Picture::end_attempt
   }
   bool unheard = false;
   for (auto p = m.tasks.begin(); p != m.tasks.end();) {
@@ -279,6 +282,7 @@
   p.index = t.index;
   p.attempt = t.attempt;
   p.phase = t.state == TaskState::running ? Phase::running : Phase::present;
+  p.fetching = t.state == TaskState::fetching;
   p.started = now;
   auto it = picture_.jobs.find(t.job);
   if (it == picture_.jobs.end() && lookup_(t.job) == nullptr) return;  // not known yet: leave it alone
@@ -341,6 +345,7 @@
   if (ours) {
     if (t.cause == Cause::error && j) task_failed(*j, m, now);
     if (t.cause == Cause::no_room && j) j->not_before = std::max(j->not_before, now + 200 * kMillisecond);
+    if (t.cause == Cause::gang_incomplete && j) j->incomplete = t.attempt;
     if (t.cause == Cause::unknown && j) j->not_before = now + 2 * kSecond;
     spdlog::debug("exited {}/{} try {} on {} cause {}", t.job, t.index, t.attempt, m.record.id,
                   static_cast<int>(t.cause));
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -89,10 +89,11 @@
       if (state.starts_with("ended")) {
         t.state = wire::TaskState::exited;
         const std::string cause = state.substr(6);
-        t.cause = cause == "done"      ? wire::Cause::done
-                  : cause == "error"   ? wire::Cause::error
-                  : cause == "no_room" ? wire::Cause::no_room
-                                       : wire::Cause::stopped;
+        t.cause = cause == "done"         ? wire::Cause::done
+                  : cause == "error"      ? wire::Cause::error
+                  : cause == "no_room"    ? wire::Cause::no_room
+                  : cause == "incomplete" ? wire::Cause::gang_incomplete
+                                          : wire::Cause::stopped;
       }
       r.tasks.push_back(t);
     }
