--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -165,8 +165,8 @@
   std::map<std::string, Micros> bad_machines;  // on which it failed, avoided until then
   std::uint64_t gang_attempt = 0;
   std::uint64_t incomplete = 0;  // the attempt that ended because some were still fetching; they go on
-  Micros began = 0;          // a gang's first attempt
-  Micros to_spot_until = 0;  // a gang that was stopped to go on on spot machines
+  Micros began = 0;              // a gang's first attempt
+  Micros to_spot_until = 0;      // a gang that was stopped to go on on spot machines
   Micros moved = 0;
   std::uint32_t waiting() const {
     return spec->tasks - done.count() - static_cast<std::uint32_t>(active.size());
