--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -291,6 +291,48 @@
   EXPECT_EQ(w.starts, started);  // no worker's lease ran out
 }
 
+// Its users were kept by a node that could tell them nothing until the cut was over.
+TEST_F(NodeTest, ANodeCutOffFromStoreAndPeersIsNotReady) {
+  SmallWorld w;
+  w.engine.run_for(20 * kSecond);
+  w.state_refuses = w.cut_off = {"a"};
+  w.engine.run_for(30 * kSecond);
+  EXPECT_EQ(w.ask("a", Method::get, "/ready").status, 503);
+  for (const char* n : {"b", "c"}) EXPECT_EQ(w.ask(n, Method::get, "/ready").status, 200);
+  w.state_refuses.clear(), w.cut_off.clear();
+  w.engine.run_for(10 * kSecond);
+  EXPECT_EQ(w.ask("a", Method::get, "/ready").status, 200);
+  // Without the state service at all, nobody is better than another.
+  w.state_down = true;
+  w.engine.run_for(30 * kSecond);
+  for (const char* n : {"a", "b", "c"}) EXPECT_EQ(w.ask(n, Method::get, "/ready").status, 200);
+}
+
+// A submission whose text is in rows of its own, and the answer to a copy of its commit says that the job is
+// there already: the rows were dropped as another try's, and no node could read the job again.
+TEST_F(NodeTest, ACopyOfItsOwnCommitDoesNotLoseAJobInParts) {
+  SmallWorld w({}, 1);
+  w.engine.run_for(20 * kSecond);
+  auto last = job("j-900", 2);
+  last["waitsOn"] = Json::array();
+  for (int i = 100'001; i <= 100'080; ++i) {
+    const std::string id = "j-" + std::to_string(i);
+    EXPECT_EQ(w.ask("a", Method::post, "/v1/jobs", job(id, 1)).status, 201);
+    last["waitsOn"].push_back(id);
+    w.engine.run_for(kSecond);
+  }
+  w.record_copied_at_once = true;
+  EXPECT_EQ(w.ask("a", Method::post, "/v1/jobs", last).status, 200);
+  w.record_copied_at_once = false;
+  EXPECT_TRUE(w.store.keys.lower_bound("s/part/")->first.starts_with("s/part/j-900/"));
+  w.engine.run_for(5 * kSecond);
+  w.crash("b");
+  w.start("b");
+  w.engine.run_for(5 * kSecond);
+  EXPECT_EQ(w.ask("b", Method::get, "/v1/jobs/j-900").status, 200);
+  EXPECT_TRUE(done_in_time(w, "b", "j-900"));
+}
+
 // A commit of the former process puts its lease's key there after the new process has read all keys: nobody
 // could take the share until that lease had run out.
 TEST_F(NodeTest, ALateKeyOfTheFormerProcessIsNotWaitedFor) {
--- a/tests/small_world.cpp
+++ b/tests/small_world.cpp
@@ -157,6 +157,8 @@
                          [&w = world_, method, path, body] {
                            w.store.request(method, path, body, [](int, const auto&) {});
                          });
+      if (world_.record_copied_at_once && body.find("\"set\":\"s/job/") != std::string::npos)
+        world_.store.request(method, path, body, [](int, const auto&) {});
       const bool lost = world_.by_chance(world_.answer_lost);
       world_.store.request(method, path, body, [answer, lost](int status, const std::string& text) {
         if (!lost) answer(status, text);
@@ -181,12 +183,13 @@
 
 struct SmallWorld::Node {
   Node(SmallWorld& world, const std::string& name)
-      : platform(settings_of(name)), loop(world.engine), wire(world, name, loop) {
+      : platform(settings_of(name, world.value_kb_)), loop(world.engine), wire(world, name, loop) {
     controller = std::make_unique<app::Controller>(
         platform, world.settings_, app::Controller::Needs{loop, wire, wire, wire, ++world.processes_});
   }
-  static wire::PlatformSettings settings_of(const std::string& name) {
+  static wire::PlatformSettings settings_of(const std::string& name, double value_kb) {
     auto j = settings_json();
+    j["params"]["state"]["value_kb"] = value_kb;
     j["host_name"] = name;
     j["siblings"] = Json::array();
     for (const char* n : {"a", "b", "c"})
@@ -249,7 +252,8 @@
   std::function<void(int, const std::string&)> done_;
 };
 
-SmallWorld::SmallWorld(const app::OperatorSettings& settings) : settings_(settings) {
+SmallWorld::SmallWorld(const app::OperatorSettings& settings, double value_kb)
+    : settings_(settings), value_kb_(value_kb) {
   const auto workers = settings_json()["params"]["workers"];
   every_ = from_seconds(workers["report_s"].get<double>());
   lease_ = from_seconds(workers["lease_s"].get<double>());
--- a/tests/small_world.h
+++ b/tests/small_world.h
@@ -121,7 +121,8 @@
 /// Nodes a, b, c of the fixtures' settings, with workers that report to whoever holds them.
 class SmallWorld {
  public:
-  explicit SmallWorld(const app::OperatorSettings& settings = {});
+  /// `value_kb`: the most that a value in the state service may have.
+  explicit SmallWorld(const app::OperatorSettings& settings = {}, double value_kb = 16);
   ~SmallWorld();
   void start(const std::string& node);
   void crash(const std::string& node);
@@ -150,7 +151,8 @@
   // Copies of what was sent or carried out, later: of reports to any node, within three worker leases; of
   // pushes and of changes in the state service within two minutes, their answers lost.
   double report_copied = 0, push_copied = 0, commit_copied = 0;
-  double task_fails = 0;  // half way; part of all runs
+  bool record_copied_at_once = false;  // commits of job records: executed twice, the second's answer comes
+  double task_fails = 0;               // half way; part of all runs
   /// Frames from and to these nodes are held, to be delivered later to whichever process is there then.
   std::set<std::string> hold_frames;
   void release_frames();
@@ -184,6 +186,7 @@
   Json say(Worker& w) const;
 
   app::OperatorSettings settings_;
+  double value_kb_;
   std::map<std::string, std::unique_ptr<Node>> nodes_;
   std::vector<std::unique_ptr<Node>> crashed_;
   std::map<std::string, Worker> workers_;
