--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -13,7 +13,7 @@
 constexpr Micros kTick = 250 * kMillisecond;
 constexpr Micros kSoon = 15 * kMillisecond;
 constexpr Micros kGossip = 500 * kMillisecond;
-constexpr Micros kBeat = 250 * kMillisecond;
+constexpr Micros kHeartbeat = 250 * kMillisecond;
 constexpr Micros kLead = 500 * kMillisecond;
 constexpr Micros kKeep = 200 * kMillisecond;
 constexpr Micros kReplan = 5 * kSecond;
@@ -54,7 +54,7 @@
   loop_.every(kTick, [this] { tick(); });
   keeper_.find_former();
   loop_.every(kGossip, [this] { peer_desk_.gossip(); });
-  loop_.every(kBeat, [this] { peer_desk_.beat(); });
+  loop_.every(kHeartbeat, [this] { peer_desk_.heartbeat(); });
   loop_.every(kLead, [this] { lead(); });
   loop_.every(kKeep, [this] { keeper_.tick(); });
   loop_.every(kReplan, [this] { replan(); });
--- a/src/app/peer_desk.cpp
+++ b/src/app/peer_desk.cpp
@@ -12,18 +12,18 @@
 constexpr Micros kToldWithin = 1500 * kMillisecond;  // of a new leader's key
 }  // namespace
 
-share::PeerSaid PeerDesk::said_of_us() const {
+share::PeerState PeerDesk::state_of_us() const {
   const auto& own = needs_.keeper.ownership();
   const Micros now = needs_.loop.now();
   return {own.has_state(needs_.store.ok(now), now), needs_.records.synced(), own.lease().value_or(0), now};
 }
 
 void PeerDesk::gossip() {
-  const auto ours = said_of_us();
+  const auto ours = state_of_us();
   share::Gossip g;
   g.node = platform_.name;
   g.state_ok = ours.state_ok, g.synced = ours.synced, g.lease = ours.lease;
-  g.beats = true;
+  g.heartbeats = true;
   share::Gossip brief = g;
   brief.brief = true;
   for (const auto& [s, held] : needs_.keeper.held())
@@ -32,7 +32,7 @@
   const HolderKey* leader = needs_.keeper.ownership().leader();
   std::vector<std::string> whole;
   for (const auto& peer : platform_.siblings) {
-    if (beats_.reads(peer.name) && leader && leader->node != peer.name) {
+    if (heartbeats_.reads(peer.name) && leader && leader->node != peer.name) {
       needs_.peers.send_bytes(peer.name, in_brief);
       continue;
     }
@@ -44,13 +44,13 @@
   }
 }
 
-void PeerDesk::beat(const std::string& peer) {
-  needs_.peers.send(peer, beats_.to(peer, said_of_us(), needs_.loop.now()));
+void PeerDesk::heartbeat(const std::string& peer) {
+  needs_.peers.send(peer, heartbeats_.to(peer, state_of_us(), needs_.loop.now()));
 }
 
-void PeerDesk::beat() {
+void PeerDesk::heartbeat() {
   for (const auto& peer : platform_.siblings)
-    if (beats_.reads(peer.name)) beat(peer.name);
+    if (heartbeats_.reads(peer.name)) heartbeat(peer.name);
 }
 
 void PeerDesk::keys_seen() {
@@ -113,20 +113,20 @@
     needs_.status_told(*t);
   else if (const auto* w = std::get_if<share::WithdrawnTell>(&frame))
     heard(*w);
-  else if (const auto* b = std::get_if<share::Beat>(&frame))
+  else if (const auto* b = std::get_if<share::Heartbeat>(&frame))
     heard(*b);
 }
 
-void PeerDesk::heard(const share::Beat& b) {
-  const auto heard = beats_.heard(b, needs_.loop.now());
-  if (heard.said) needs_.keeper.ownership().peer_said(b.node, *heard.said);
-  if (heard.answer) beat(b.node);
+void PeerDesk::heard(const share::Heartbeat& b) {
+  const auto heard = heartbeats_.heard(b, needs_.loop.now());
+  if (heard.state) needs_.keeper.ownership().peer_reported(b.node, *heard.state);
+  if (heard.answer) heartbeat(b.node);
 }
 
 void PeerDesk::heard(const share::Gossip& g) {
   const Micros now = needs_.loop.now();
   auto& own = needs_.keeper.ownership();
-  if (beats_.take_gossip(g, now)) own.peer_said(g.node, {g.state_ok, g.synced, g.lease, now});
+  if (heartbeats_.take_gossip(g, now)) own.peer_reported(g.node, {g.state_ok, g.synced, g.lease, now});
   for (const auto& s : g.shares) holds_[s.share] = {g.node, now};
   if (g.brief) return;
   // Share by share: a node with thousands of machines tells them in several frames.
--- a/src/app/peer_desk.h
+++ b/src/app/peer_desk.h
@@ -10,7 +10,7 @@
 #include "app/records.h"
 #include "fleet/renter.h"
 #include "net/loop.h"
-#include "share/beats.h"
+#include "share/heartbeats.h"
 #include "share/peers.h"
 #include "store/client.h"
 
@@ -28,15 +28,15 @@
     std::function<void(const share::StatusTell&)> status_told;
     std::function<void()> poke;
   };
-  /// `incarnation`: see share::Beats.
+  /// `incarnation`: see share::Heartbeats.
   PeerDesk(const wire::PlatformSettings& platform, std::uint64_t incarnation, Needs needs)
-      : platform_(platform), needs_(std::move(needs)), beats_(platform.name, incarnation) {}
+      : platform_(platform), needs_(std::move(needs)), heartbeats_(platform.name, incarnation) {}
 
   /// Every half second, and when another node leads: all that we know of our shares to the leader and to
-  /// those that read no beats, to the others only which they are.
+  /// those that read no heartbeats, to the others only which they are.
   void gossip();
   /// Every quarter of a second: what we say of ourselves.
-  void beat();
+  void heartbeat();
   /// The keys may have changed.
   void keys_seen();
   void withdrawn(const std::string& job);
@@ -61,13 +61,13 @@
   void heard(const share::ReleaseAsk& ask);
   void heard(const share::StatusAsk& ask, const share::Peers::Reply& reply);
   void heard(const share::WithdrawnTell& tell);
-  void heard(const share::Beat& beat);
-  void beat(const std::string& peer);
-  share::PeerSaid said_of_us() const;
+  void heard(const share::Heartbeat& heartbeat);
+  void heartbeat(const std::string& peer);
+  share::PeerState state_of_us() const;
 
   const wire::PlatformSettings& platform_;
   Needs needs_;
-  share::Beats beats_;
+  share::Heartbeats heartbeats_;
   std::map<int, Told> said_;                             // by share, the last word of whoever held it
   std::map<int, std::pair<std::string, Micros>> holds_;  // who said that it holds it, and when
   std::uint64_t leader_epoch_ = 0;
--- a/src/share/beats.h
+++ b/src/share/heartbeats.h
@@ -1,7 +1,7 @@
 // Which process of a peer a word comes from, and how old it is at most. A word may be held up by a cut, lie
 // in the socket of a node that stood still, or be of a process that has ended and been started again since:
-// its arrival says nothing. So each beat names the process that sent it and returns the newest stamp that it
-// had from us; what came back with a stamp of this process was said after that stamp. Socket-free.
+// its arrival says nothing. So each heartbeat names the process that sent it and returns the newest stamp
+// that it had from us; what came back with a stamp of this process was said after that stamp. Socket-free.
 #pragma once
 #include <cstdint>
 #include <map>
@@ -14,28 +14,29 @@
 
 namespace aspenwick::share {
 
-class Beats {
+class Heartbeats {
  public:
   /// `incarnation`: drawn at random for each process, not 0.
-  Beats(std::string node, std::uint64_t incarnation) : node_(std::move(node)), incarnation_(incarnation) {}
+  Heartbeats(std::string node, std::uint64_t incarnation)
+      : node_(std::move(node)), incarnation_(incarnation) {}
 
   /// What we say of ourselves to a peer, now.
-  Beat to(const std::string& peer, const PeerSaid& ours, Micros now) const;
+  Heartbeat to(const std::string& peer, const PeerState& ours, Micros now) const;
   struct Heard {
-    std::optional<PeerSaid> said;  // `at`: by our clock, surely not after it was said; none: proves nothing
-    bool answer = false;           // it has nothing of this process yet: an answer at once gives it our stamp
+    std::optional<PeerState> state;  // `at`: by our clock, surely not after it was said; none: proves nothing
+    bool answer = false;  // it has nothing of this process yet: an answer at once gives it our stamp
   };
-  Heard heard(const Beat& beat, Micros now);
+  Heard heard(const Heartbeat& heartbeat, Micros now);
 
-  /// A gossip frame came, which tells whether its sender's version sends beats. true: it may be taken by its
-  /// arrival, as the version before means it.
+  /// A gossip frame came, which tells whether its sender's version sends heartbeats. true: it may be taken by
+  /// its arrival, as the version before means it.
   bool take_gossip(const Gossip& gossip, Micros now);
-  /// The peer's process is known to read beats.
+  /// The peer's process is known to read heartbeats.
   bool reads(const std::string& peer) const { return read_.contains(peer); }
 
  private:
   struct Peer {
-    std::uint64_t incarnation = 0, stamp = 0;  // of the beat that came last, to be returned
+    std::uint64_t incarnation = 0, stamp = 0;  // of the heartbeat that came last, to be returned
     Micros proven = -1;                        // our stamp in the newest word taken
     std::uint64_t proven_stamp = 0, proven_incarnation = 0;
   };
--- a/src/share/ownership.cpp
+++ b/src/share/ownership.cpp
@@ -54,7 +54,7 @@
   return it == holders_.end() ? nullptr : &it->second;
 }
 
-void Ownership::peer_said(const std::string& node, const PeerSaid& said) {
+void Ownership::peer_reported(const std::string& node, const PeerState& said) {
   auto [it, added] = peers_.try_emplace(node, said);
   if (!added && said.at >= it->second.at) it->second = said;
 }
--- a/src/share/ownership.h
+++ b/src/share/ownership.h
@@ -23,7 +23,7 @@
 HolderKey holder_from_json(const wire::Json& j, std::uint64_t version);
 
 /// What a peer last said of itself.
-struct PeerSaid {
+struct PeerState {
   bool state_ok = false, synced = false;
   std::uint64_t lease = 0;
   Micros at = 0;  // by our clock: not after it was said
@@ -51,7 +51,7 @@
 
   // ---- peers
   /// `said.at`: when it was said at the earliest, by our clock. An older word never replaces a newer one.
-  void peer_said(const std::string& node, const PeerSaid& said);
+  void peer_reported(const std::string& node, const PeerState& said);
   bool peer_alive(const std::string& node, Micros now) const;
 
   /// May worker reports be answered (which renews their leases)? Beyond our own lease only while all peers
@@ -93,7 +93,7 @@
   std::map<int, Micros> free_since_;
   std::optional<HolderKey> leader_;
   Micros leader_free_since_ = 0;
-  std::map<std::string, PeerSaid> peers_;
+  std::map<std::string, PeerState> peers_;
   std::map<std::string, Micros> settled_since_;
 };
 
--- a/src/share/peer_frame.cpp
+++ b/src/share/peer_frame.cpp
@@ -59,11 +59,12 @@
   std::size_t at_;
 };
 
-enum Type : std::uint8_t { kGossip = 1, kRelease, kStatusAsk, kStatusTell, kWithdrawn, kBeat };
+enum Type : std::uint8_t { kGossip = 1, kRelease, kStatusAsk, kStatusTell, kWithdrawn, kHeartbeat };
 
 void write(Writer& w, const Gossip& g) {
   w.text(g.node);
-  w.num<std::uint8_t>(static_cast<std::uint8_t>(g.state_ok | g.synced << 1 | g.beats << 2 | g.brief << 3));
+  w.num<std::uint8_t>(
+      static_cast<std::uint8_t>(g.state_ok | g.synced << 1 | g.heartbeats << 2 | g.brief << 3));
   w.num<std::uint64_t>(g.lease);
   w.num<std::uint8_t>(static_cast<std::uint8_t>(g.shares.size()));
   for (const auto& s : g.shares) {
@@ -100,7 +101,7 @@
   Gossip g;
   g.node = r.text();
   const auto flags = r.num<std::uint8_t>();
-  g.state_ok = flags & 1, g.synced = flags & 2, g.beats = flags & 4, g.brief = flags & 8;
+  g.state_ok = flags & 1, g.synced = flags & 2, g.heartbeats = flags & 4, g.brief = flags & 8;
   g.lease = r.num<std::uint64_t>();
   const auto shares = r.num<std::uint8_t>();
   for (int i = 0; i < shares; ++i) {
@@ -170,8 +171,8 @@
   } else if (const auto* w = std::get_if<WithdrawnTell>(&frame)) {
     type = kWithdrawn;
     body.text(w->job);
-  } else if (const auto* b = std::get_if<Beat>(&frame)) {
-    type = kBeat;
+  } else if (const auto* b = std::get_if<Heartbeat>(&frame)) {
+    type = kHeartbeat;
     body.text(b->node);
     body.num<std::uint8_t>(static_cast<std::uint8_t>(b->state_ok | b->synced << 1));
     for (const auto n : {b->lease, b->incarnation, b->stamp, b->echo_incarnation, b->echo_stamp})
@@ -253,8 +254,8 @@
     case kWithdrawn:
       out = WithdrawnTell{r.text()};
       break;
-    case kBeat: {
-      Beat b;
+    case kHeartbeat: {
+      Heartbeat b;
       b.node = r.text();
       const auto flags = r.num<std::uint8_t>();
       b.state_ok = flags & 1, b.synced = flags & 2;
--- a/src/share/peer_frame.h
+++ b/src/share/peer_frame.h
@@ -27,12 +27,12 @@
   std::uint64_t lease = 0;
   std::vector<ShareSaid> shares;
   // In bits that the version before leaves unread.
-  bool beats = false;  // the sender reads beats; what it says of itself goes by them
-  bool brief = false;  // only which shares it holds: the rest is told to the leader
+  bool heartbeats = false;  // the sender reads heartbeats; what it says of itself goes by them
+  bool brief = false;       // only which shares it holds: the rest is told to the leader
 };
 /// What a process says of itself, with which process it is and what it last had from the receiver (see
-/// beats.h). Sent only to those that read it.
-struct Beat {
+/// heartbeats.h). Sent only to those that read it.
+struct Heartbeat {
   std::string node;
   bool state_ok = false, synced = false;
   std::uint64_t lease = 0;
@@ -59,7 +59,7 @@
 struct WithdrawnTell {
   std::string job;
 };
-using Frame = std::variant<Gossip, ReleaseAsk, StatusAsk, StatusTell, WithdrawnTell, Beat>;
+using Frame = std::variant<Gossip, ReleaseAsk, StatusAsk, StatusTell, WithdrawnTell, Heartbeat>;
 
 std::string encode(const Frame& frame);
 /// The same in as many frames as their bound asks for, one if it can be: each with some of the shares. A
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -9,7 +9,7 @@
 #include <sstream>
 
 #include "fixtures.h"
-#include "share/beats.h"
+#include "share/heartbeats.h"
 #include "share/holder.h"
 #include "share/ownership.h"
 
@@ -272,8 +272,8 @@
       else
         own_.holder_set(share, {words_.at(1), static_cast<std::uint64_t>(number("lease", 0)), 1, 1});
     } else if (event == "peer") {
-      own_.peer_said(words_.at(0), {key("state", "ok") == "ok", true,
-                                    static_cast<std::uint64_t>(number("lease", 0)), now_});
+      own_.peer_reported(words_.at(0), {key("state", "ok") == "ok", true,
+                                        static_cast<std::uint64_t>(number("lease", 0)), now_});
     } else if (event == "ask") {
       std::string take, back;
       for (int s : own_.to_take(now_)) take += " " + std::to_string(s);
@@ -285,10 +285,10 @@
     } else if (event == "says") {
       out_.push_back(own_.has_state(key("answered", "yes") == "yes", now_) ? "has the state service"
                                                                            : "lacks it");
-    } else if (event == "beat") {
-      out_.push_back("stamp " + seconds(static_cast<Micros>(beats_.to("b", {}, now_).stamp)));
+    } else if (event == "heartbeat") {
+      out_.push_back("stamp " + seconds(static_cast<Micros>(heartbeats_.to("b", {}, now_).stamp)));
     } else if (event == "hears") {
-      Beat b;
+      Heartbeat b;
       b.node = words_.at(0);
       b.lease = static_cast<std::uint64_t>(number("lease", 0));
       b.incarnation = static_cast<std::uint64_t>(number("process", 1));
@@ -297,9 +297,9 @@
         b.echo_incarnation = static_cast<std::uint64_t>(number("of", kIncarnation));
         b.echo_stamp = static_cast<std::uint64_t>(kStart + from_seconds(number("echo", 0)));
       }
-      const auto heard = beats_.heard(b, now_);
-      if (heard.said) own_.peer_said(b.node, *heard.said);
-      if (heard.said) out_.push_back("said at " + seconds(heard.said->at));
+      const auto heard = heartbeats_.heard(b, now_);
+      if (heard.state) own_.peer_reported(b.node, *heard.state);
+      if (heard.state) out_.push_back("said at " + seconds(heard.state->at));
       if (heard.answer) out_.push_back("answer at once");
     } else if (event == "renewable") {
       const Micros until =
@@ -331,7 +331,7 @@
   std::unique_ptr<Holder> holder_;
   const Holder* rebuilt_ = nullptr;
   static constexpr std::uint64_t kIncarnation = 3;
-  Beats beats_{"a", kIncarnation};
+  Heartbeats heartbeats_{"a", kIncarnation};
   Ownership own_{platform_};
   Micros now_ = 0;
   std::vector<std::string> words_, out_;
