Tests of the gap: a leader refused alone, cancellations confirmed, then an outage

In small_world open watches now wait while the state service is down or refuses their node, as PROTOCOL says; they went on, so no refused node ever missed a change. Six directed tests, times from the settings.

--- /dev/null
+++ b/tests/cancellation_test.cpp
@@ -0,0 +1,128 @@
+// A cancellation that a user was told of reaches whoever answers the job's workers, also one that the state
+// service refuses: the tasks are gone within the time that a cancellation has (design/cancellation.md).
+#include "node_fixture.h"
+
+namespace aspenwick::testing {
+namespace {
+
+using net::Method;
+
+/// Node a leads and holds the share of this team; eight long tasks run on its machines.
+struct CancellationTest : NodeTest {
+  CancellationTest() {
+    w.run_time = 3600 * kSecond;
+    w.engine.run_for(20 * kSecond);
+    submit("j-1");
+    w.engine.run_for(20 * kSecond);
+    EXPECT_EQ(w.store.keys.at("s/leader").value.at("node"), "a");
+    EXPECT_EQ(w.store.keys.at("s/holder/0").value.at("node"), "a");
+    EXPECT_EQ(w.starts.size(), 8U);
+  }
+  void submit(const std::string& id) {
+    auto j = job(id, 8);
+    j["owner"] = "cards";
+    EXPECT_EQ(w.ask("b", Method::post, "/v1/jobs", j).status, 201);
+  }
+  /// As a user does, until one of these nodes has confirmed it.
+  void cancel(const std::string& id, const std::vector<std::string>& nodes) {
+    for (const auto& n : nodes) {
+      const auto told = w.ask(n, Method::post, "/v1/jobs/" + id + "/withdraw");
+      if (told.status != 200) continue;
+      EXPECT_EQ(told.body.at("status"), "withdrawn");
+      w.withdrawn.emplace(id, w.engine.now);
+      return;
+    }
+    ADD_FAILURE() << id << " was not cancelled";
+  }
+  /// The state service is down for all, for longer than a cancellation has.
+  void outage() {
+    w.state_down = true;
+    w.engine.run_for(w.cancel_time() + 2 * w.worker_lease());
+  }
+  void expect_gone() const {
+    EXPECT_EQ(w.ran_cancelled, "");
+    EXPECT_EQ(w.ran_twice, 0) << w.first_twice;
+  }
+  SmallWorld w;
+};
+
+// The link between the two is broken just then: what the confirming node says once is lost.
+TEST_F(CancellationTest, ReachesALeaderRefusedAloneWhoseLinkIsBrokenJustThen) {
+  w.state_refuses = w.cut_off = {"a"};
+  cancel("j-1", {"b"});
+  w.state_down = true;
+  w.engine.run_for(kSecond);
+  w.cut_off.clear();
+  outage();
+  expect_gone();
+}
+
+// The commit was executed and its answer lost: the user hears of it from a third node, which did not make it.
+TEST_F(CancellationTest, ReachesALeaderRefusedAloneWhenARetryElsewhereIsToldOfIt) {
+  w.state_refuses = {"a"};
+  w.unanswered = {"b"};
+  cancel("j-1", {"b", "c"});
+  outage();
+  expect_gone();
+}
+
+// Whoever confirmed it ends, and nobody else knows: the leader hears all peers say that they lack the state
+// service too, and one of them is a process that can't know what was confirmed before it.
+TEST_F(CancellationTest, IsNotOutlivedByTheWordOfAProcessThatBeganAfterIt) {
+  w.state_refuses = {"a", "c"};
+  w.cut_off = {"a"};
+  cancel("j-1", {"b"});
+  w.state_down = true;
+  w.crash("b");
+  w.engine.run_for(300 * kMillisecond);
+  w.start("b");
+  w.cut_off.clear();
+  outage();
+  expect_gone();
+}
+
+// Two refusals of the leader in a row, each with cancellations and an outage right after it.
+TEST_F(CancellationTest, ReachesALeaderRefusedTwice) {
+  submit("j-2");
+  w.engine.run_for(20 * kSecond);
+  for (const char* id : {"j-1", "j-2"}) {
+    w.state_refuses = {"a"};
+    w.engine.run_for(kSecond);
+    w.unanswered = {"c"};
+    cancel(id, {"c", "b"});
+    w.unanswered.clear();
+    outage();
+    w.state_down = false, w.state_refuses.clear();
+    w.engine.run_for(30 * kSecond);
+  }
+  expect_gone();
+}
+
+// Another node has taken the share when the outage begins: the former leader, whom nobody told that, must not
+// go on with workers that only it reaches.
+TEST_F(CancellationTest, ReachesTheWorkersOfALeaderWhoseShareWasTakenBeforeTheOutage) {
+  w.state_refuses = {"a"};
+  w.engine.run_for(7 * kSecond);
+  cancel("j-1", {"b"});
+  outage();
+  w.state_down = false, w.state_refuses.clear();
+  w.engine.run_for(30 * kSecond);
+  expect_gone();
+}
+
+// An outage alone costs nothing: everyone goes on for as long as it takes.
+TEST_F(CancellationTest, AnOutageThatAllSeeEndsNoTask) {
+  submit("j-2");
+  w.engine.run_for(20 * kSecond);
+  cancel("j-1", {"c"});
+  outage();
+  outage();
+  w.state_down = false;
+  w.engine.run_for(30 * kSecond);
+  expect_gone();
+  EXPECT_EQ(w.starts.size(), 16U);
+  for (const auto& [task, n] : w.starts) EXPECT_EQ(n, 1) << task;
+}
+
+}  // namespace
+}  // namespace aspenwick::testing
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -5,25 +5,13 @@
 #include <cstdio>
 #include <cstdlib>
 
-#include "small_world.h"
+#include "node_fixture.h"
 
 namespace aspenwick::testing {
 namespace {
 
 using net::Method;
 
-Json job(const std::string& id, int tasks) {
-  auto j = job_json();
-  j["nameId"] = id;
-  j["pieces"] = tasks;
-  return j;
-}
-
-struct NodeTest : ::testing::Test {
-  NodeTest() { spdlog::set_level(std::getenv("VERBOSE") ? spdlog::level::debug : spdlog::level::warn); }
-  ~NodeTest() override { spdlog::set_level(spdlog::level::info); }
-};
-
 /// Until `node` says that the job is done; false if it doesn't in five minutes.
 bool done_in_time(SmallWorld& w, const std::string& node, const std::string& id) {
   for (int i = 0; i < 300; ++i) {
--- a/tests/small_world.cpp
+++ b/tests/small_world.cpp
@@ -65,7 +65,10 @@
   done(200, Json{{"ledgerRev", revision_}}.dump());
 }
 
-void StateStore::changes(const std::string& under, std::uint64_t since, Micros until, const Done& done) {
+void StateStore::changes(const std::string& under, std::uint64_t since, Micros until, const Done& done,
+                         const std::function<bool()>& waits) {
+  auto again = [this, under, since, until, done, waits] { changes(under, since, until, done, waits); };
+  if (waits()) return engine_.at(10 * kMillisecond, again);
   if (since < oldest_) return done(410, "{}");
   Json news = Json::array();
   for (std::size_t i = 0; i < log_.size(); ++i) {
@@ -76,15 +79,15 @@
   }
   if (!news.empty() || engine_.now >= until)
     return done(200, Json{{"ledgerRev", revision_}, {"news", news}}.dump());
-  engine_.at(10 * kMillisecond, [this, under, since, until, done] { changes(under, since, until, done); });
+  engine_.at(10 * kMillisecond, again);
 }
 
 void StateStore::request(net::Method method, const std::string& path, const std::string& body,
-                         const Done& done) {
+                         const Done& done, const std::function<bool()>& waits) {
   if (path == "/commit") return commit(Json::parse(body), done);
   if (path.starts_with("/changes"))
     return changes(part(path, "under"), std::stoull(part(path, "since")),
-                   engine_.now + std::stoll(part(path, "holdMs")) * kMillisecond, done);
+                   engine_.now + std::stoll(part(path, "holdMs")) * kMillisecond, done, waits);
   if (path.starts_with("/kv/")) {
     const auto it = keys.find(path.substr(4));
     if (it == keys.end()) return done(404, "{}");
@@ -137,7 +140,7 @@
   void request(net::Method method, const wire::Endpoint& to, const std::string& path, const std::string& body,
                Micros deadline, net::Answered done) override {
     auto once = std::make_shared<net::Answered>(std::move(done));
-    auto answer = [this, once](int status, const std::string& text) {
+    std::function<void(int, const std::string&)> answer = [this, once](int status, const std::string& text) {
       loop_.later(kTrip, [once, status, text] {
         if (auto f = std::exchange(*once, nullptr)) f(status, text);
       });
@@ -146,12 +149,23 @@
       if (auto f = std::exchange(*once, nullptr)) f(0, "");
     });
     if (to.port == 6) {
-      if (world_.state_down || world_.state_refuses.contains(node_)) return answer(503, "{}");
+      auto refused = [&w = world_, n = node_] { return w.state_down || w.state_refuses.contains(n); };
+      if (refused()) return answer(503, "{}");
+      if (path == "/commit" && world_.commit_lost(body)) return;
+      if (world_.state_slow > 0)
+        answer = [this, answer,
+                  late =
+                      static_cast<Micros>(world_.random() % static_cast<std::uint64_t>(world_.state_slow))](
+                     int status, const std::string& text) {
+          loop_.later(late, [answer, status, text] { answer(status, text); });
+        };
+      const auto [soonest, latest] = world_.commit_late_by;
       if (path == "/commit" && world_.by_chance(world_.commit_late))
-        return world_.engine.at(static_cast<Micros>(world_.random() % (120 * kSecond)),
-                                [&w = world_, method, path, body] {
-                                  w.store.request(method, path, body, [](int, const auto&) {});
-                                });
+        return world_.engine.at(
+            soonest + static_cast<Micros>(world_.random() % static_cast<std::uint64_t>(latest - soonest)),
+            [&w = world_, method, path, body] {
+              w.store.request(method, path, body, [](int, const auto&) {});
+            });
       if (method != net::Method::get && world_.by_chance(world_.commit_copied))
         world_.engine.at(static_cast<Micros>(world_.random() % (120 * kSecond)),
                          [&w = world_, method, path, body] {
@@ -159,10 +173,14 @@
                          });
       if (world_.record_copied_at_once && body.find("\"set\":\"s/job/") != std::string::npos)
         world_.store.request(method, path, body, [](int, const auto&) {});
-      const bool lost = world_.by_chance(world_.answer_lost);
-      world_.store.request(method, path, body, [answer, lost](int status, const std::string& text) {
-        if (!lost) answer(status, text);
-      });
+      const bool lost =
+          (path == "/commit" && world_.unanswered.contains(node_)) || world_.by_chance(world_.answer_lost);
+      world_.store.request(
+          method, path, body,
+          [answer, lost](int status, const std::string& text) {
+            if (!lost) answer(status, text);
+          },
+          refused);
     } else if (to.port == 5) {
       world_.cloud(method, path, body, answer);
     } else {
@@ -471,6 +489,25 @@
     ran_cancelled = task + " on " + w.id + " at " + std::to_string(to_seconds(engine.now));
 }
 
+/// A start on a machine that the job forbids, or by which its team has more than its limit of CPUs.
+void SmallWorld::check_place(const Worker& w, const std::string& task) {
+  const auto job = submitted.find(task.substr(0, task.find('/')));
+  if (job == submitted.end() || !broken.empty()) return;
+  const Json& j = job->second;
+  if (!j.at("site").is_null() && j.at("site") != w.zone) broken = "wrong zone: " + task;
+  if (w.spot && !j.at("loaner").get<bool>()) broken = "on a spot machine: " + task;
+  double limit = 0, used = j.at("vcpus").get<double>();
+  for (const auto& t : settings_json()["params"]["teams"])
+    if (t.at("name") == j.at("owner")) limit = t.at("cpus_max").get<double>();
+  for (const auto& [id, other] : workers_)
+    for (const auto& [key, t] : other.tasks) {
+      const auto by = submitted.find(key.first.substr(0, key.first.find('/')));
+      if (!t.cause.empty() || engine.now > other.lease_ends || by == submitted.end()) continue;
+      if (by->second.at("owner") == j.at("owner")) used += by->second.at("vcpus").get<double>();
+    }
+  if (limit > 0 && used > limit + 0.001) broken = "over the team's limit: " + task;
+}
+
 void SmallWorld::obey(Worker& w, const Json& order) {
   const auto verb = order.at("verb").get<std::string>(), task = order.at("piece").get<std::string>();
   const auto attempt = order.at("try").get<std::uint64_t>();
@@ -500,14 +537,21 @@
   }
   ++starts[task];
   check_cancelled(w, task);
+  check_place(w, task);
   attempts.insert(attempt);
   w.tasks[key] = {};
   const bool fails = by_chance(task_fails);
-  engine.at(fails ? run_time / 2 : run_time, [this, id = w.id, key, fails] {
+  const Micros spread =
+      run_spread > 0
+          ? static_cast<Micros>(std::hash<std::string>{}(task) % static_cast<std::size_t>(run_spread))
+          : 0;
+  engine.at(fails ? run_time / 2 : run_time + spread, [this, id = w.id, key, fails] {
     auto it = workers_.find(id);
     if (it == workers_.end()) return;
-    if (auto t = it->second.tasks.find(key); t != it->second.tasks.end() && t->second.cause.empty())
+    if (auto t = it->second.tasks.find(key); t != it->second.tasks.end() && t->second.cause.empty()) {
       t->second.cause = fails ? "error" : "done";
+      if (!fails) completed.insert(key.first);
+    }
   });
 }
 
--- a/tests/small_world.h
+++ b/tests/small_world.h
@@ -75,7 +75,10 @@
  public:
   using Done = std::function<void(int, const std::string&)>;
   explicit StateStore(Engine& engine) : engine_(engine) { expire(); }
-  void request(net::Method method, const std::string& path, const std::string& body, const Done& done);
+  /// `waits`: an open watch is told nothing while it says so, as when the service is down or refuses a node.
+  void request(
+      net::Method method, const std::string& path, const std::string& body, const Done& done,
+      const std::function<bool()>& waits = [] { return false; });
 
   /// Whoever follows from before now gets 410.
   void forget_changes() { log_.clear(), log_stamps_.clear(), oldest_ = revision_; }
@@ -98,7 +101,8 @@
 
  private:
   void commit(const Json& asked, const Done& done);
-  void changes(const std::string& under, std::uint64_t since, Micros until, const Done& done);
+  void changes(const std::string& under, std::uint64_t since, Micros until, const Done& done,
+               const std::function<bool()>& waits);
   void put(const std::string& key, std::optional<Kept> value);
   void end_lease(std::uint64_t lease);
   void expire();
@@ -144,10 +148,15 @@
   double push_lost = 1, push_late = 0;  // parts of all; late: up to two minutes
   double answer_lost = 0;               // of the state service's, which has executed the request
   double report_lost = 0;               // of reports, half of them answered in vain
+  std::set<std::string> unanswered;     // nodes whose commits are executed without an answer
   bool state_down = false;
   std::set<std::string> state_refuses;  // nodes
   std::set<std::string> cut_off;        // nodes that no peer's frame reaches, nor theirs any peer
-  double commit_late = 0;  // part of commits that are executed up to two minutes later, unanswered
+  double commit_late = 0;               // part of commits that are executed some time later, unanswered
+  std::pair<Micros, Micros> commit_late_by{0, 120 * kSecond};
+  /// Commits that never arrive, by their text.
+  std::function<bool(const std::string& body)> commit_lost = [](const std::string&) { return false; };
+  Micros state_slow = 0;  // its answers take up to so long
   // Copies of what was sent or carried out, later: of reports to any node, within three worker leases; of
   // pushes and of changes in the state service within two minutes, their answers lost.
   double report_copied = 0, push_copied = 0, commit_copied = 0;
@@ -165,6 +174,14 @@
   /// Jobs whose users were told that they are withdrawn, and tasks that were there too long after that.
   std::map<std::string, Micros> withdrawn;
   std::string ran_cancelled;
+  /// What was asked to be run, by job; more rules are judged of these: the team's limit, zone and kind of
+  /// machine.
+  std::map<std::string, Json> submitted;
+  std::string broken;               // the first such rule
+  std::set<std::string> completed;  // tasks
+  Micros run_spread = 0;            // added to run_time, by task
+  Micros cancel_time() const { return cancel_; }
+  Micros worker_lease() const { return lease_; }
 
  private:
   struct Node;
@@ -180,6 +197,7 @@
   Worker* some_machine();
   void check_lease(Worker& w);
   void check_cancelled(const Worker& w, const std::string& task);
+  void check_place(const Worker& w, const std::string& task);
   void try_next_node(Worker& w);
   void report(Worker& w);
   void obey(Worker& w, const Json& order);
