Beyond its store lease a holder goes on only if peers confirm what it needs to know

Cause: while every peer said that it lacked the state service too, a holder went on without end; what was confirmed to users between its last fresh view and the outage was told to it once, by whoever had made the commit. With a peer of production there is no confirmation. Settings that leave no time to cancel end the start with the field's name.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -23,10 +23,12 @@
 Controller::Controller(const wire::PlatformSettings& platform, const OperatorSettings& ops, Needs needs)
     : loop_(needs.loop),
       store_(loop_, needs.http, platform),
-      records_(platform, {loop_, store_,
-                          [this](const std::string& id, const job::JobRecord& record) {
-                            keeper_.job_seen(id, record);
-                          }}),
+      records_(platform,
+               {loop_, store_,
+                [this](const std::string& id, const job::JobRecord& record) { keeper_.job_seen(id, record); },
+                [this](const std::string& id, std::uint64_t revision) {
+                  peer_desk_.cancellation_known(id, revision);
+                }}),
       keeper_(platform, ops, {loop_, store_, records_, [this] { poke(); }}),
       recorder_(platform, {loop_, store_, records_, keeper_, [this] { poke(); }}),
       peer_desk_(platform, needs.incarnation,
@@ -40,7 +42,7 @@
                [this](const auto& ids) { records_.forget_machines(ids); }}),
       users_desk_(platform, needs.incarnation,
                   {loop_, store_, needs.peers, records_, keeper_,
-                   [this](const std::string& job) { peer_desk_.withdrawn(job); }, [this] { poke(); }}),
+                   [this](const std::string& job) { peer_desk_.cancelled(job); }, [this] { poke(); }}),
       workers_desk_(platform,
                     {loop_, needs.workers, store_, records_, keeper_,
                      [this](const wire::WorkerReport& r) {
--- a/src/app/keeper.cpp
+++ b/src/app/keeper.cpp
@@ -305,6 +305,7 @@
   renew();
   own_lease();
   if (!records().synced()) return;
+  own_.records_read(records().read_as_of());
   if (own_.lease()) needs_.records.announce(*own_.lease());
   for (const int s : own_.to_take(needs_.loop.now())) take_share(s);
   if (own_.take_leader(needs_.loop.now())) take_leader();
@@ -338,6 +339,15 @@
   return out;
 }
 
+std::vector<std::uint64_t> Keeper::taken_epochs() const {
+  std::vector<std::uint64_t> out;
+  for (int s = 0; s < own_.shares(); ++s) {
+    const auto it = tokens_.find(kToken + std::to_string(s));
+    out.push_back(it == tokens_.end() ? 0 : it->second.first);
+  }
+  return out;
+}
+
 std::uint64_t Keeper::highest_epoch() const {
   std::uint64_t highest = 0;
   for (const auto& [key, counter] : tokens_) highest = std::max(highest, counter.first);
--- a/src/app/keeper.h
+++ b/src/app/keeper.h
@@ -77,6 +77,8 @@
   /// record before its share's key was removed, and only who has seen the key removed takes the share: so a
   /// successor's epoch, drawn above this, is above every token that its machines have seen.
   std::uint64_t highest_epoch() const;
+  /// By share: the highest epoch that it is known to have been taken with.
+  std::vector<std::uint64_t> taken_epochs() const;
 
  private:
   void read(const wire::Row& row);
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -15,6 +15,7 @@
 #include "net/event_loop.h"
 #include "net/http.h"
 #include "net/patience.h"
+#include "share/ownership.h"
 #include "share/peer_link.h"
 
 namespace {
@@ -102,6 +103,7 @@
   aspenwick::app::OperatorSettings ops;
   try {
     platform = aspenwick::wire::parse_settings(read_file(config));
+    aspenwick::share::check_time_to_cancel(platform);
     if (!ops_path.empty()) ops = aspenwick::app::read_operator_settings(ops_path);
   } catch (const std::exception& e) {
     std::cerr << e.what() << '\n';
--- a/src/app/peer_desk.cpp
+++ b/src/app/peer_desk.cpp
@@ -15,7 +15,13 @@
 share::PeerState PeerDesk::state_of_us() const {
   const auto& own = needs_.keeper.ownership();
   const Micros now = needs_.loop.now();
-  return {own.has_state(needs_.store.ok(now), now), needs_.records.synced(), own.lease().value_or(0), now};
+  return {own.has_state(needs_.store.ok(now), now),
+          needs_.records.synced(),
+          own.lease().value_or(0),
+          now,
+          false,
+          0,
+          needs_.keeper.taken_epochs()};
 }
 
 void PeerDesk::gossip() {
@@ -45,7 +51,15 @@
 }
 
 void PeerDesk::heartbeat(const std::string& peer) {
-  needs_.peers.send(peer, heartbeats_.to(peer, state_of_us(), needs_.loop.now()));
+  share::Heartbeat b = heartbeats_.to(peer, state_of_us(), needs_.loop.now());
+  b.read_to = needs_.records.read_to();
+  b.cancellations = cancellations_.highest();
+  b.had = cancellations_.had(peer, b.echo_incarnation);
+  needs_.peers.send(peer, b);
+}
+
+void PeerDesk::tell_cancellations(const std::string& peer) {
+  if (const auto tell = cancellations_.to(peer)) needs_.peers.send(peer, *tell);
 }
 
 void PeerDesk::heartbeat() {
@@ -62,8 +76,12 @@
   if (leader) gossip();
 }
 
-void PeerDesk::withdrawn(const std::string& job) {
-  for (const auto& peer : platform_.siblings) needs_.peers.send(peer.name, share::WithdrawnTell{job});
+void PeerDesk::cancelled(const std::string& job) {
+  for (const auto& peer : platform_.siblings)
+    if (heartbeats_.reads(peer.name))
+      tell_cancellations(peer.name);
+    else
+      needs_.peers.send(peer.name, share::WithdrawnTell{job});
 }
 
 bool PeerDesk::heard_all() const {
@@ -113,20 +131,29 @@
     needs_.status_told(*t);
   else if (const auto* w = std::get_if<share::WithdrawnTell>(&frame))
     heard(*w);
+  else if (const auto* c = std::get_if<share::CancelTell>(&frame))
+    heard(*c);
   else if (const auto* b = std::get_if<share::Heartbeat>(&frame))
     heard(*b);
 }
 
 void PeerDesk::heard(const share::Heartbeat& b) {
-  const auto heard = heartbeats_.heard(b, needs_.loop.now());
-  if (heard.state) needs_.keeper.ownership().peer_reported(b.node, *heard.state);
+  auto heard = heartbeats_.heard(b, needs_.loop.now());
+  if (heard.state) {
+    // Repeated with each of its heartbeats, so that nothing piles up for a peer that can't be reached.
+    cancellations_.peer_has(b.node, b.read_to, b.had);
+    tell_cancellations(b.node);
+    heard.state->knows_all = cancellations_.had(b.node, b.incarnation) >= b.cancellations;
+    needs_.keeper.ownership().peer_reported(b.node, *heard.state);
+  }
   if (heard.answer) heartbeat(b.node);
 }
 
 void PeerDesk::heard(const share::Gossip& g) {
   const Micros now = needs_.loop.now();
   auto& own = needs_.keeper.ownership();
-  if (heartbeats_.take_gossip(g, now)) own.peer_reported(g.node, {g.state_ok, g.synced, g.lease, now});
+  if (heartbeats_.take_gossip(g, now))
+    own.peer_reported(g.node, {g.state_ok, g.synced, g.lease, now, false, 0, {}});
   for (const auto& s : g.shares) holds_[s.share] = {g.node, now};
   if (g.brief) return;
   // Share by share: a node with thousands of machines tells them in several frames.
@@ -157,12 +184,16 @@
 }
 
 void PeerDesk::heard(const share::WithdrawnTell& w) {
-  const auto* known = needs_.records.job(w.job);
-  if (!known || known->final()) return;
-  job::JobRecord record = *known;
-  record.status = wire::JobStatus::withdrawn;
-  needs_.records.set_job(w.job, std::move(record));
+  // Of no known revision: the record that says it is still to come.
+  if (needs_.records.job(w.job)) needs_.records.cancelled_elsewhere(w.job, 0);
+  needs_.records.follow_graph();
+  needs_.poke();
+}
+
+void PeerDesk::heard(const share::CancelTell& c) {
+  for (const auto& j : c.jobs) needs_.records.cancelled_elsewhere(j.id, j.revision);
   needs_.records.follow_graph();
+  cancellations_.heard(c);
   needs_.poke();
 }
 
--- a/src/app/peer_desk.h
+++ b/src/app/peer_desk.h
@@ -10,6 +10,7 @@
 #include "app/records.h"
 #include "fleet/renter.h"
 #include "net/loop.h"
+#include "share/cancellations.h"
 #include "share/heartbeats.h"
 #include "share/peers.h"
 #include "store/client.h"
@@ -30,7 +31,10 @@
   };
   /// `incarnation`: see share::Heartbeats.
   PeerDesk(const wire::PlatformSettings& platform, std::uint64_t incarnation, Needs needs)
-      : platform_(platform), needs_(std::move(needs)), heartbeats_(platform.name, incarnation) {}
+      : platform_(platform),
+        needs_(std::move(needs)),
+        heartbeats_(platform.name, incarnation),
+        cancellations_(platform.name, incarnation) {}
 
   /// Every half second, and when another node leads: all that we know of our shares to the leader and to
   /// those that read no heartbeats, to the others only which they are.
@@ -39,7 +43,12 @@
   void heartbeat();
   /// The keys may have changed.
   void keys_seen();
-  void withdrawn(const std::string& job);
+  /// We know that a job is cancelled, by a record of that revision, and may tell users so.
+  void cancellation_known(const std::string& job, std::uint64_t revision) {
+    cancellations_.learnt(job, revision);
+  }
+  /// We have committed it: the peers are told ahead of the watch.
+  void cancelled(const std::string& job);
   void heard(const share::Frame& frame, const share::Peers::Reply& reply);
   /// All shares as fresh as is known: ours, and others' as told lately.
   std::vector<share::ShareSaid> all_shares() const;
@@ -61,13 +70,16 @@
   void heard(const share::ReleaseAsk& ask);
   void heard(const share::StatusAsk& ask, const share::Peers::Reply& reply);
   void heard(const share::WithdrawnTell& tell);
+  void heard(const share::CancelTell& tell);
   void heard(const share::Heartbeat& heartbeat);
   void heartbeat(const std::string& peer);
+  void tell_cancellations(const std::string& peer);
   share::PeerState state_of_us() const;
 
   const wire::PlatformSettings& platform_;
   Needs needs_;
   share::Heartbeats heartbeats_;
+  share::Cancellations cancellations_;
   std::map<int, Told> said_;                             // by share, the last word of whoever held it
   std::map<int, std::pair<std::string, Micros>> holds_;  // who said that it holds it, and when
   std::uint64_t leader_epoch_ = 0;
--- a/src/app/records.cpp
+++ b/src/app/records.cpp
@@ -13,6 +13,7 @@
 namespace {
 constexpr int kReads = 3;  // formats: 3 has rows of units, specs in parts, types in rows
 constexpr std::size_t kForgetAtOnce = 4;
+constexpr std::size_t kMostEarly = 4096;
 constexpr Micros kGatherAsking = 15 * kMillisecond;
 }  // namespace
 
@@ -53,9 +54,7 @@
   const std::string& key = row.key;
   if (key.starts_with(kJob)) {
     const std::string id = key.substr(kJob.size());
-    if (row.removed) return;
-    if (const auto* known = job(id); known && known->version >= row.version) return;
-    set_job(id, job::record_from_json(row.value, row.version));
+    if (!row.removed) job_read(id, job::record_from_json(row.value, row.version));
   } else if (key.starts_with(kPart)) {
     read_part(row);
   } else if (key.starts_with(kNode)) {
@@ -90,8 +89,32 @@
   machines_changed_.insert(machine.id);
 }
 
+void Records::job_read(const std::string& id, job::JobRecord record) {
+  if (const auto* known = job(id); known && known->version >= record.version) return;
+  set_job(id, std::move(record));
+  if (const auto early = cancelled_early_.extract(id)) cancelled_elsewhere(id, early.mapped());
+}
+
+void Records::cancelled_elsewhere(const std::string& id, std::uint64_t revision) {
+  const auto* known = job(id);
+  if (!known) {
+    // Nothing of it runs here. If so many were never read, the watch brings them with their cancellation.
+    if (cancelled_early_.size() >= kMostEarly) cancelled_early_.clear();
+    cancelled_early_[id] = revision;
+    return;
+  }
+  if (known->final()) return;
+  job::JobRecord record = *known;
+  record.status = JobStatus::withdrawn;
+  record.version = std::max(record.version, revision);
+  set_job(id, std::move(record));
+}
+
 void Records::set_job(const std::string& id, job::JobRecord record) {
   job::JobRecord& kept = jobs_[id];
+  const bool news = record.status == JobStatus::withdrawn &&
+                    (kept.status != JobStatus::withdrawn || kept.version < record.version);
+  if (news) needs_.cancelled(id, record.version);
   // A record in parts is whole once they are all here; one written before keeps its spec.
   if (!record.spec && kept.spec && record.status != JobStatus::done) record.spec = kept.spec;
   kept = std::move(record);
@@ -173,19 +196,21 @@
 void Records::read_fresh() {
   auto asked = std::make_shared<std::vector<std::function<void(bool)>>>(std::exchange(want_fresh_, {}));
   const std::uint64_t since = std::max(fresh_to_, needs_.store.watched());
-  needs_.store.changes(kJob, since,
-                       [this, asked](bool ok, const std::vector<wire::Row>& rows, std::uint64_t revision) {
-                         if (ok) {
-                           for (const auto& r : rows) apply(r);
-                           fresh_to_ = std::max(fresh_to_, revision);
-                           follow_graph();
-                         } else {
-                           fresh_to_ = 0;  // perhaps too old
-                         }
-                         for (const auto& f : *asked) f(ok);
-                         freshening_ = !want_fresh_.empty();
-                         if (freshening_) needs_.loop.later(kGatherAsking, [this] { read_fresh(); });
-                       });
+  const Micros sent = needs_.loop.now();
+  needs_.store.changes(
+      kJob, since, [this, asked, sent](bool ok, const std::vector<wire::Row>& rows, std::uint64_t revision) {
+        if (ok) {
+          for (const auto& r : rows) apply(r);
+          fresh_to_ = std::max(fresh_to_, revision);
+          fresh_as_of_ = sent;
+          follow_graph();
+        } else {
+          fresh_to_ = 0;  // perhaps too old
+        }
+        for (const auto& f : *asked) f(ok);
+        freshening_ = !want_fresh_.empty();
+        if (freshening_) needs_.loop.later(kGatherAsking, [this] { read_fresh(); });
+      });
 }
 
 /// A row on our lease that says which formats we read. The first version wrote none, so a node without one
--- a/src/app/records.h
+++ b/src/app/records.h
@@ -24,6 +24,8 @@
     store::Client& store;
     /// Told of each record whenever it, or what it waits for, has changed.
     std::function<void(const std::string& id, const job::JobRecord& record)> job_seen;
+    /// Told once of each job that is known to be cancelled, before any user can be told so by us.
+    std::function<void(const std::string& id, std::uint64_t revision)> cancelled;
   };
   Records(const wire::PlatformSettings& platform, Needs needs);
 
@@ -54,6 +56,10 @@
   // ---- our own changes, once committed
   /// Every record that we see, read or committed, goes this way: into memory, the graph and `job_seen`.
   void set_job(const std::string& id, job::JobRecord record);
+  /// A job's record that was read by itself; older than what is known, it is left out.
+  void job_read(const std::string& id, job::JobRecord record);
+  /// A peer's word that a record of this revision says it: known ahead of the watch, or of the record itself.
+  void cancelled_elsewhere(const std::string& id, std::uint64_t revision);
   /// A machine that we recorded; the watch may have been faster.
   void add_machine(const share::MachineRecord& machine);
   /// Tells `job_seen` of stages that opened and of what those that need a job grant it.
@@ -67,6 +73,10 @@
   /// Tells `then` once all job records are as fresh as a read made after this call; false if the service
   /// can't be asked. Several askers share a read.
   void fresh_jobs(std::function<void(bool)> then);
+  /// The revision up to which all job records are known; 0: not yet.
+  std::uint64_t read_to() const { return synced_ ? std::max(needs_.store.watched(), fresh_to_) : 0; }
+  /// All job records are known as they were then, or later.
+  Micros read_as_of() const { return std::max(needs_.store.watched_as_of(), fresh_as_of_); }
   /// A row on `lease`, ours, that says which formats we read.
   void announce(std::uint64_t lease);
   void write_types(const std::vector<wire::MachineType>& types);
@@ -93,6 +103,8 @@
   std::map<std::size_t, std::vector<wire::MachineType>> type_parts_;
   std::vector<std::function<void(bool)>> want_fresh_;
   std::uint64_t fresh_to_ = 0;  // revision up to which jobs were read afresh
+  Micros fresh_as_of_ = 0;      // when that read was sent
+  std::unordered_map<std::string, std::uint64_t> cancelled_early_;  // by job, whose record hasn't come yet
   bool freshening_ = false, announcing_ = false;
 };
 
--- a/src/app/users_desk.cpp
+++ b/src/app/users_desk.cpp
@@ -249,7 +249,14 @@
       spdlog::error("job record {}: {}", id, e.what());
       return retry(x, "state service");
     }
-    if (record.final()) return x->answer(200, wire::status_body(id, record.status));
+    if (record.final()) {
+      // Whoever tells a user of a cancellation knows it from then on, and tells the peers.
+      const JobStatus status = record.status;
+      needs_.records.job_read(id, std::move(record));
+      needs_.records.follow_graph();
+      needs_.poke();
+      return x->answer(200, wire::status_body(id, status));
+    }
     record.status = JobStatus::withdrawn;
     if (const auto* known = needs_.records.job(id); !record.spec && known) record.spec = known->spec;
     // `done` and `withdrawn` race by the guard: one of them finds the record changed.
@@ -264,7 +271,7 @@
                           needs_.records.set_job(id, std::move(record));
                           needs_.records.follow_graph();
                           // Ahead of the watch, which an outage may delay past the time a cancellation has.
-                          needs_.withdrawn(id);
+                          needs_.cancelled(id);
                           needs_.poke();
                           x->answer(200, wire::status_body(id, JobStatus::withdrawn));
                         });
--- a/src/app/users_desk.h
+++ b/src/app/users_desk.h
@@ -25,7 +25,7 @@
     Records& records;
     Keeper& keeper;
     /// Tells the peers, ahead of the watch.
-    std::function<void(const std::string& job)> withdrawn;
+    std::function<void(const std::string& job)> cancelled;
     std::function<void()> poke;
   };
   UsersDesk(const wire::PlatformSettings& platform, std::uint64_t incarnation, Needs needs)
--- a/src/app/workers_desk.cpp
+++ b/src/app/workers_desk.cpp
@@ -44,7 +44,7 @@
   Keeper::Held* held = needs_.keeper.find(share);
   if (!held || held->handing_back) return x->answer(503, wire::error_body("not yet"));
   const Micros now = needs_.loop.now();
-  if (!own.may_renew_workers(now)) return refuse(x, share, "", "no right to act");
+  if (!own.may_renew_workers(share, now)) return refuse(x, share, "", "no right to act");
   const auto told = held->holder->on_report(r, now, needs_.keeper.may_start(*held));
   if (!told) return x->answer(503, wire::error_body("no right to act"));
   x->answer(200, wire::report_answer(told->token, told->orders));
@@ -56,7 +56,7 @@
 /// gone, until their leases ran out, while a third held their share.
 void WorkersDesk::refuse(const ExchangePtr& x, int share, const std::string& by_keys, const char* why) const {
   const auto& own = needs_.keeper.ownership();
-  std::string holder = own.may_renew_workers(needs_.loop.now()) ? by_keys : needs_.told_holder(share);
+  std::string holder = own.keys_current(needs_.loop.now()) ? by_keys : needs_.told_holder(share);
   if (holder == platform_.name) holder.clear();
   if (holder.empty()) return x->answer(503, wire::error_body(why));
   x->answer(421, wire::redirect_body(holder));
--- a/src/share/heartbeats.cpp
+++ b/src/share/heartbeats.cpp
@@ -11,6 +11,7 @@
   Heartbeat b;
   b.node = node_;
   b.state_ok = ours.state_ok, b.synced = ours.synced, b.lease = ours.lease;
+  b.epochs = ours.epochs;
   b.incarnation = incarnation_;
   b.stamp = static_cast<std::uint64_t>(now);
   if (auto it = peers_.find(peer); it != peers_.end())
@@ -24,6 +25,7 @@
   Peer& p = peers_[b.node];
   // Of one process the newest stamp is returned. Which of two processes is the later one is not told by what
   // comes first; returning a dead one's only delays proof until the living one's next heartbeat.
+  if (p.incarnation != b.incarnation) p.since = now;
   if (p.incarnation != b.incarnation || b.stamp > p.stamp) p.incarnation = b.incarnation, p.stamp = b.stamp;
   out.answer = b.echo_incarnation != incarnation_;
   const auto proof = static_cast<Micros>(b.echo_stamp);
@@ -32,7 +34,7 @@
                      (proof == p.proven && b.incarnation == p.proven_incarnation && b.stamp > p.proven_stamp);
   if (!newer) return out;
   p.proven = proof, p.proven_incarnation = b.incarnation, p.proven_stamp = b.stamp;
-  out.state = PeerState{b.state_ok, b.synced, b.lease, proof};
+  out.state = PeerState{b.state_ok, b.synced, b.lease, proof, false, p.since, b.epochs};
   return out;
 }
 
--- a/src/share/heartbeats.h
+++ b/src/share/heartbeats.h
@@ -20,10 +20,12 @@
   Heartbeats(std::string node, std::uint64_t incarnation)
       : node_(std::move(node)), incarnation_(incarnation) {}
 
-  /// What we say of ourselves to a peer, now.
+  /// What we say of ourselves to a peer, now; of the cancellations the caller tells.
   Heartbeat to(const std::string& peer, const PeerState& ours, Micros now) const;
   struct Heard {
-    std::optional<PeerState> state;  // `at`: by our clock, surely not after it was said; none: proves nothing
+    /// `at`: by our clock, surely not after it was said; `since` told too, `knows_all` not. None: it proves
+    /// nothing.
+    std::optional<PeerState> state;
     bool answer = false;  // it has nothing of this process yet: an answer at once gives it our stamp
   };
   Heard heard(const Heartbeat& heartbeat, Micros now);
@@ -37,6 +39,7 @@
  private:
   struct Peer {
     std::uint64_t incarnation = 0, stamp = 0;  // of the heartbeat that came last, to be returned
+    Micros since = 0;                          // when a heartbeat of that process came first
     Micros proven = -1;                        // our stamp in the newest word taken
     std::uint64_t proven_stamp = 0, proven_incarnation = 0;
   };
--- a/src/share/ownership.cpp
+++ b/src/share/ownership.cpp
@@ -22,6 +22,13 @@
           j.at("epoch").get<std::uint64_t>(), version};
 }
 
+void check_time_to_cancel(const wire::PlatformSettings& platform) {
+  // A holder that nobody reaches renews its workers until its own lease is over, and they go on for one more.
+  if (platform.cancel >= kHolderLease + platform.worker_lease + kBoundMargin) return;
+  throw wire::Malformed("params.workers.cancel_s: must be at least lease_s and " +
+                        std::to_string((kHolderLease + kBoundMargin) / kSecond) + " s");
+}
+
 Ownership::Ownership(const wire::PlatformSettings& platform)
     : platform_(platform), me_(platform.name), nodes_(platform.nodes()) {
   home_ = static_cast<int>(std::find(nodes_.begin(), nodes_.end(), me_) - nodes_.begin());
@@ -31,9 +38,11 @@
   if (started_ == 0) started_ = sent;
   lease_ = id;
   valid_until_ = held_until_ = sent + kHolderLease - kDriftMargin;
+  served_ = sent;
 }
 void Ownership::lease_renewed(Micros sent) {
   valid_until_ = held_until_ = std::max(valid_until_, sent + kHolderLease - kDriftMargin);
+  served_ = std::max(served_, sent);
 }
 void Ownership::lease_lost() {
   lease_.reset();
@@ -70,26 +79,44 @@
                             kMaxUnconfirmed);
 }
 
-bool Ownership::may_renew_workers(Micros now) const {
-  if (!lease_) return false;
-  if (now < valid_until_) return true;
+/// Beyond our lease, while nobody has the state service: as long as all peers confirm it, or for the bound.
+bool Ownership::beyond_lease(Micros now, const std::function<bool(const PeerState&)>& confirms) const {
   bool all_confirm = true;
   for (const auto& s : platform_.siblings) {
     auto it = peers_.find(s.name);
     const bool fresh = it != peers_.end() && now - it->second.at < kPeerFresh;
     // A peer that the state service answers may take over soon: yield.
     if (fresh && it->second.state_ok) return false;
-    if (!fresh) all_confirm = false;
+    if (!fresh || !confirms(it->second)) all_confirm = false;
   }
   return all_confirm || now < valid_until_ + unconfirmed_bound();
 }
 
+bool Ownership::may_renew_workers(int share, Micros now) const {
+  if (!lease_) return false;
+  if (now < valid_until_) return true;
+  const HolderKey* key = holder(share);
+  const auto s = static_cast<std::size_t>(share);
+  // Once it was cut off from the state service alone, a holder must not take a common outage for its right to
+  // go on: others may have confirmed cancellations before it, or taken the share and lost their leases since.
+  return beyond_lease(now, [&](const PeerState& peer) {
+    return ours(key) && peer.knows_all && peer.since <= std::min(served_, read_) && s < peer.epochs.size() &&
+           peer.epochs[s] <= key->epoch;
+  });
+}
+
+bool Ownership::keys_current(Micros now) const {
+  if (!lease_) return false;
+  return now < valid_until_ || beyond_lease(now, [](const PeerState&) { return true; });
+}
+
 Micros Ownership::renewable_until(const std::string& former, std::uint64_t former_lease, Micros now) const {
   if (former == me_) return now;  // our own former process, which has ended
   auto it = peers_.find(former);
   // It lives and says that it no longer goes by that lease.
   if (it != peers_.end() && now - it->second.at < kPeerFresh && it->second.lease != former_lease) return now;
-  return now + unconfirmed_bound();
+  // Confirmed, it went on for as long as a peer's word counts.
+  return now + std::max(unconfirmed_bound(), kPeerFresh);
 }
 
 bool Ownership::refused_alone(Micros now) const {
--- a/src/share/ownership.h
+++ b/src/share/ownership.h
@@ -2,6 +2,7 @@
 // peers say. Socket-free: fed events and the time.
 #pragma once
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,8 +28,15 @@
   bool state_ok = false, synced = false;
   std::uint64_t lease = 0;
   Micros at = 0;  // by our clock: not after it was said
+  // What a holder needs that wants to go on beyond its lease; the version before tells nothing of it.
+  bool knows_all = false;  // we know all cancellations that it may have told a user of
+  Micros since = 0;        // its process was there at this time, by our clock, and has been ever since
+  std::vector<std::uint64_t> epochs;  // by share: the highest that it knows to be taken
 };
 
+/// Ends a start whose settings leave less time to cancel than leases may last; throws wire::Malformed.
+void check_time_to_cancel(const wire::PlatformSettings& platform);
+
 class Ownership {
  public:
   explicit Ownership(const wire::PlatformSettings& platform);
@@ -39,6 +47,8 @@
   void lease_lost();
   std::optional<std::uint64_t> lease() const { return lease_; }
   bool lease_valid(Micros now) const;
+  /// All job records are known as they were at `sent` or later.
+  void records_read(Micros sent) { read_ = std::max(read_, sent); }
 
   // ---- what the state service shows
   void holder_set(int share, const HolderKey& key);
@@ -54,10 +64,14 @@
   void peer_reported(const std::string& node, const PeerState& said);
   bool peer_alive(const std::string& node, Micros now) const;
 
-  /// May worker reports be answered (which renews their leases)? Beyond our own lease only while all peers
-  /// say that they lack the state service too; unconfirmed, for no longer than unconfirmed_bound().
-  bool may_renew_workers(Micros now) const;
+  /// May reports of a share's workers be answered (which renews their leases)? Beyond our own lease only
+  /// while all peers confirm it: they lack the state service too, were there when it last answered us, know
+  /// of no holder after us and of no cancellation that we don't know. Unconfirmed, for no longer than
+  /// unconfirmed_bound().
+  bool may_renew_workers(int share, Micros now) const;
   Micros unconfirmed_bound() const;
+  /// Our view of the keys can't be old: our lease is valid, or nobody else seems to have the state service.
+  bool keys_current(Micros now) const;
   /// What we tell peers. While our lease is valid we may take their shares, so we never say that we lack the
   /// state service then, whatever single calls of ours came to: they would go on renewing their workers.
   bool has_state(bool answered, Micros now) const { return answered || lease_valid(now); }
@@ -82,13 +96,16 @@
   int share_of_team(const std::string& team) const;
 
  private:
+  bool beyond_lease(Micros now, const std::function<bool(const PeerState&)>& confirms) const;
+
   const wire::PlatformSettings& platform_;
   std::string me_;
   std::vector<std::string> nodes_;
   int home_ = 0;
   std::optional<std::uint64_t> lease_;
   Micros valid_until_ = 0, started_ = 0;
-  Micros held_until_ = 0;  // the same, after the lease is gone too
+  Micros held_until_ = 0;         // the same, after the lease is gone too
+  Micros served_ = 0, read_ = 0;  // the state service knew our lease then; all job records were read then
   std::map<int, HolderKey> holders_;
   std::map<int, Micros> free_since_;
   std::optional<HolderKey> leader_;
--- a/src/share/peer_frame.cpp
+++ b/src/share/peer_frame.cpp
@@ -59,12 +59,24 @@
   std::size_t at_;
 };
 
-enum Type : std::uint8_t { kGossip = 1, kRelease, kStatusAsk, kStatusTell, kWithdrawn, kHeartbeat };
+// 6 was a heartbeat without cancellations, which no version in production has sent.
+enum Type : std::uint8_t {
+  kGossip = 1,
+  kRelease,
+  kStatusAsk,
+  kStatusTell,
+  kWithdrawn,
+  kHeartbeat = 7,
+  kCancel
+};
+// Bits of a gossip's flags; the version in production reads the first two. 4 was that of heartbeats of
+// type 6.
+enum GossipFlag : std::uint8_t { kStateOk = 1, kSynced = 2, kBrief = 8, kHeartbeats = 16 };
 
 void write(Writer& w, const Gossip& g) {
   w.text(g.node);
-  w.num<std::uint8_t>(
-      static_cast<std::uint8_t>(g.state_ok | g.synced << 1 | g.heartbeats << 2 | g.brief << 3));
+  w.num<std::uint8_t>(static_cast<std::uint8_t>((g.state_ok ? kStateOk : 0) | (g.synced ? kSynced : 0) |
+                                                (g.brief ? kBrief : 0) | (g.heartbeats ? kHeartbeats : 0)));
   w.num<std::uint64_t>(g.lease);
   w.num<std::uint8_t>(static_cast<std::uint8_t>(g.shares.size()));
   for (const auto& s : g.shares) {
@@ -101,7 +113,8 @@
   Gossip g;
   g.node = r.text();
   const auto flags = r.num<std::uint8_t>();
-  g.state_ok = flags & 1, g.synced = flags & 2, g.heartbeats = flags & 4, g.brief = flags & 8;
+  g.state_ok = flags & kStateOk, g.synced = flags & kSynced;
+  g.brief = flags & kBrief, g.heartbeats = flags & kHeartbeats;
   g.lease = r.num<std::uint64_t>();
   const auto shares = r.num<std::uint8_t>();
   for (int i = 0; i < shares; ++i) {
@@ -175,8 +188,20 @@
     type = kHeartbeat;
     body.text(b->node);
     body.num<std::uint8_t>(static_cast<std::uint8_t>(b->state_ok | b->synced << 1));
-    for (const auto n : {b->lease, b->incarnation, b->stamp, b->echo_incarnation, b->echo_stamp})
+    for (const auto n : {b->lease, b->incarnation, b->stamp, b->echo_incarnation, b->echo_stamp, b->read_to,
+                         b->cancellations, b->had})
       body.num<std::uint64_t>(n);
+    body.num<std::uint8_t>(static_cast<std::uint8_t>(b->epochs.size()));
+    for (const auto e : b->epochs) body.num<std::uint64_t>(e);
+  } else if (const auto* c = std::get_if<CancelTell>(&frame)) {
+    type = kCancel;
+    body.text(c->node);
+    for (const auto n : {c->incarnation, c->from, c->upto}) body.num<std::uint64_t>(n);
+    body.num<std::uint16_t>(static_cast<std::uint16_t>(c->jobs.size()));
+    for (const auto& j : c->jobs) {
+      body.text(j.id);
+      body.num<std::uint64_t>(j.revision);
+    }
   }
   const std::string payload = body.take();
   Writer head;
@@ -259,9 +284,23 @@
       b.node = r.text();
       const auto flags = r.num<std::uint8_t>();
       b.state_ok = flags & 1, b.synced = flags & 2;
-      for (auto* n : {&b.lease, &b.incarnation, &b.stamp, &b.echo_incarnation, &b.echo_stamp})
+      for (auto* n : {&b.lease, &b.incarnation, &b.stamp, &b.echo_incarnation, &b.echo_stamp, &b.read_to,
+                      &b.cancellations, &b.had})
         *n = r.num<std::uint64_t>();
-      out = b;
+      for (int n = r.num<std::uint8_t>(); n > 0; --n) b.epochs.push_back(r.num<std::uint64_t>());
+      out = std::move(b);
+      break;
+    }
+    case kCancel: {
+      CancelTell c;
+      c.node = r.text();
+      for (auto* n : {&c.incarnation, &c.from, &c.upto}) *n = r.num<std::uint64_t>();
+      if (c.incarnation == 0 || c.from > c.upto) throw BadFrame("bad value");
+      for (int n = r.num<std::uint16_t>(); n > 0; --n) {
+        std::string id = r.text();
+        c.jobs.push_back({std::move(id), r.num<std::uint64_t>()});
+      }
+      out = std::move(c);
       break;
     }
     default:
--- a/src/share/peer_frame.h
+++ b/src/share/peer_frame.h
@@ -31,13 +31,17 @@
   bool brief = false;       // only which shares it holds: the rest is told to the leader
 };
 /// What a process says of itself, with which process it is and what it last had from the receiver (see
-/// heartbeats.h). Sent only to those that read it.
+/// heartbeats.h, cancellations.h). Sent only to those that read it.
 struct Heartbeat {
   std::string node;
   bool state_ok = false, synced = false;
   std::uint64_t lease = 0;
   std::uint64_t incarnation = 0, stamp = 0;            // stamp: microseconds of the sender's clock
   std::uint64_t echo_incarnation = 0, echo_stamp = 0;  // the receiver's, as heard last; 0: nothing yet
+  std::uint64_t read_to = 0;          // revision up to which the sender has read all job records; 0: not yet
+  std::uint64_t cancellations = 0;    // number of the newest that the sender may have told a user of
+  std::uint64_t had = 0;              // of the receiver's process `echo_incarnation`, up to which number
+  std::vector<std::uint64_t> epochs;  // by share: the highest that the sender knows to be taken
 };
 /// The leader asks a holder to give a machine away, empty or to be drained; share -1: to be deleted.
 struct ReleaseAsk {
@@ -55,11 +59,22 @@
   bool known = false;
   std::uint32_t done = 0, running = 0;
 };
-/// A job was withdrawn; told ahead of the watch.
+/// A job was withdrawn; told ahead of the watch to the version before, which reads no CancelTell.
 struct WithdrawnTell {
   std::string job;
 };
-using Frame = std::variant<Gossip, ReleaseAsk, StatusAsk, StatusTell, WithdrawnTell, Heartbeat>;
+/// Jobs that are cancelled: of those that the sender has numbered above `from`, up to `upto`, all whose
+/// records the receiver may not have read (see cancellations.h).
+struct CancelTell {
+  struct Job {
+    std::string id;
+    std::uint64_t revision = 0;  // of its record
+  };
+  std::string node;
+  std::uint64_t incarnation = 0, from = 0, upto = 0;
+  std::vector<Job> jobs;
+};
+using Frame = std::variant<Gossip, ReleaseAsk, StatusAsk, StatusTell, WithdrawnTell, Heartbeat, CancelTell>;
 
 std::string encode(const Frame& frame);
 /// The same in as many frames as their bound asks for, one if it can be: each with some of the shares. A
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -204,12 +204,14 @@
 }
 
 void Client::read_all() {
-  list(watch_prefix_, [this](bool ok, std::vector<wire::Row> rows, std::uint64_t revision) {
-    if (!ok) return loop_.later(300 * kMillisecond, [this] { read_all(); });
-    watch_revision_ = revision;
-    watcher_.reset(std::move(rows));
-    follow();
-  });
+  list(watch_prefix_,
+       [this, sent = loop_.now()](bool ok, std::vector<wire::Row> rows, std::uint64_t revision) {
+         if (!ok) return loop_.later(300 * kMillisecond, [this] { read_all(); });
+         watch_revision_ = revision;
+         watched_as_of_ = sent;
+         watcher_.reset(std::move(rows));
+         follow();
+       });
 }
 
 void Client::follow() {
@@ -218,12 +220,13 @@
   requests_.level -= 1;
   // Not through send(): an open watch that waits says nothing of the service's health.
   http_.request(net::Method::get, state_, path, "", kHold + 2 * kSecond,
-                [this](int status, const std::string& body) {
+                [this, sent = loop_.now()](int status, const std::string& body) {
                   if (status == 410) return read_all();
                   if (status != 200) return loop_.later(250 * kMillisecond, [this] { follow(); });
                   try {
                     wire::Page page = wire::parse_changes(body);
                     watch_revision_ = std::max(watch_revision_, page.revision);
+                    watched_as_of_ = sent;
                     if (!page.rows.empty()) watcher_.changed(std::move(page.rows));
                   } catch (const std::exception& e) {
                     spdlog::error("state service: watch: {}", e.what());
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -44,6 +44,8 @@
   void changes(const std::string& prefix, std::uint64_t since, Listed done);
   /// All changes up to here were told by the watch.
   std::uint64_t watched() const { return watch_revision_; }
+  /// All that was changed before this moment was told by the watch.
+  Micros watched_as_of() const { return watched_as_of_; }
 
   void grant(Micros life, std::function<void(int status, std::uint64_t lease)> done);
   void renew(std::uint64_t lease, std::function<void(int status)> done);
@@ -95,6 +97,7 @@
   std::string watch_prefix_;
   Watcher watcher_;
   std::uint64_t watch_revision_ = 0;
+  Micros watched_as_of_ = 0;
 };
 
 }  // namespace aspenwick::store
--- a/tests/frame_test.cpp
+++ b/tests/frame_test.cpp
@@ -36,6 +36,24 @@
   EXPECT_EQ(std::get<StatusTell>(decode(encode(StatusTell{5, true, 9, 2}))).done, 9U);
 }
 
+TEST(Frame, WhatConfirmsAHolderComesBackAsItWasSent) {
+  Heartbeat b;
+  b.node = "rig-1", b.synced = true, b.lease = 7, b.incarnation = 8, b.stamp = 9, b.echo_incarnation = 10;
+  b.echo_stamp = 11, b.read_to = 12, b.cancellations = 13, b.had = 14, b.epochs = {15, 16};
+  const std::string beat = encode(b), tell = encode(CancelTell{"rig-1", 8, 3, 5, {{"j-1", 17}, {"j-2", 18}}});
+  const auto back = std::get<Heartbeat>(decode(beat));
+  EXPECT_EQ(encode(back), beat);
+  EXPECT_EQ(back.epochs, b.epochs);
+  EXPECT_EQ(back.cancellations, 13U);
+  const auto told = std::get<CancelTell>(decode(tell));
+  EXPECT_EQ(encode(told), tell);
+  EXPECT_EQ(told.jobs[1].revision, 18U);
+  for (const auto& good : {beat, tell})
+    for (std::size_t n = 0; n < good.size(); ++n) EXPECT_THROW(decode(good.substr(0, n)), BadFrame);
+  EXPECT_THROW(decode(encode(CancelTell{"rig-1", 8, 6, 5, {}})), BadFrame);
+  EXPECT_THROW(decode(encode(CancelTell{"rig-1", 0, 3, 5, {}})), BadFrame);
+}
+
 TEST(Frame, OneNodeThatHoldsAllStillFits) {
   // At 32 KiB the link dropped whoever held every share of some 400 machines, and its peers took it for dead.
   Gossip g = full_gossip();
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -4,6 +4,7 @@
 
 #include "app/operator_settings.h"
 #include "fixtures.h"
+#include "share/ownership.h"
 
 namespace aspenwick {
 namespace {
@@ -52,6 +53,27 @@
   EXPECT_DOUBLE_EQ(s.state_rps, 80);
 }
 
+// A holder that nobody reaches goes on for its store lease, its workers for one lease more: settings under
+// which they would outlive a cancellation end the start with the field's name.
+TEST(PlatformSettings, LeaveTimeToCancel) {
+  auto j = testing::settings_json();  // leases of 12 s and 5 s
+  auto check = [&](double cancel_s) {
+    j["params"]["workers"]["cancel_s"] = cancel_s;
+    const auto s = wire::parse_settings(j.dump());
+    share::check_time_to_cancel(s);
+    const share::Ownership own(s);
+    return share::kHolderLease + own.unconfirmed_bound() + s.worker_lease;
+  };
+  for (const double cancel_s : {20.0, 21.5, 28.0, 37.0, 300.0})
+    EXPECT_LT(check(cancel_s), from_seconds(cancel_s));
+  try {
+    check(19.9);
+    FAIL();
+  } catch (const wire::Malformed& e) {
+    EXPECT_NE(std::string(e.what()).find("params.workers.cancel_s"), std::string::npos) << e.what();
+  }
+}
+
 TEST(OperatorSettings, DefaultsStandAndKeysAreChecked) {
   EXPECT_DOUBLE_EQ(app::parse_operator_settings("").rnn.memory, 0.8);
   const auto s =
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -272,14 +272,21 @@
       else
         own_.holder_set(share, {words_.at(1), static_cast<std::uint64_t>(number("lease", 0)), 1, 1});
     } else if (event == "peer") {
-      own_.peer_reported(words_.at(0), {key("state", "ok") == "ok", true,
-                                        static_cast<std::uint64_t>(number("lease", 0)), now_});
+      const Micros since = peer_since_.try_emplace(words_.at(0), now_).first->second;
+      own_.peer_reported(words_.at(0),
+                         {key("state", "ok") == "ok", true, static_cast<std::uint64_t>(number("lease", 0)),
+                          now_, key("knows", "all") == "all", since,
+                          std::vector(3, static_cast<std::uint64_t>(number("epoch", 1)))});
+    } else if (event == "began") {  // a new process of that peer
+      peer_since_.erase(words_.at(0));
+    } else if (event == "read") {
+      own_.records_read(now_);
     } else if (event == "ask") {
       std::string take, back;
       for (int s : own_.to_take(now_)) take += " " + std::to_string(s);
       if (auto b = own_.to_hand_back(now_)) back = std::to_string(*b);
       out_.push_back(std::string("lease ") + (own_.lease_valid(now_) ? "valid" : "not valid") + ", workers " +
-                     (own_.may_renew_workers(now_) ? "renewed" : "not renewed") +
+                     (own_.may_renew_workers(0, now_) ? "renewed" : "not renewed") +
                      (own_.refused_alone(now_) ? ", refused alone" : "") +
                      (take.empty() ? "" : ", take" + take) + (back.empty() ? "" : ", hand back " + back));
     } else if (event == "says") {
@@ -333,6 +340,7 @@
   static constexpr std::uint64_t kIncarnation = 3;
   Heartbeats heartbeats_{"a", kIncarnation};
   Ownership own_{platform_};
+  std::map<std::string, Micros> peer_since_;
   Micros now_ = 0;
   std::vector<std::string> words_, out_;
   std::map<std::string, std::string> keys_;
