--- a/src/app/keeper.cpp
+++ b/src/app/keeper.cpp
@@ -14,6 +14,7 @@
 constexpr Micros kLoadAgain = 300 * kMillisecond;
 constexpr Micros kRaiseAgain = kSecond;
 constexpr Micros kEndAgain = 300 * kMillisecond;
+constexpr Micros kHandBackAgain = 500 * kMillisecond;
 }  // namespace
 
 Keeper::Keeper(const wire::PlatformSettings& platform, const OperatorSettings& settings, Needs needs)
@@ -265,13 +266,30 @@
   if (it == held_.end() || it->second.handing_back) return;
   it->second.handing_back = true;
   spdlog::info("share {}: handed back to {}", s, own_.node_of(s));
-  needs_.store.commit({{kHolder + std::to_string(s), it->second.key_version}},
-                      {{kHolder + std::to_string(s), nullptr, {}, true}}, store::Urgency::user,
-                      [this, s](int code, std::uint64_t) {
-                        // When it is not known whether the key is gone, the watch tells; until then nothing
-                        // is started.
-                        if (code == 200 || code == 0) return;
-                        if (auto h = held_.find(s); h != held_.end()) h->second.handing_back = false;
+  remove_key(s, it->second.made, it->second.key_version, false);
+}
+
+/// Until the key is surely gone or surely not: meanwhile nothing is started and no report answered. A request
+/// that got lost left a share without anyone for as long as its holder lived. `unsure`: an earlier try may be
+/// executed yet; only a key that has changed since refuses it for good.
+void Keeper::remove_key(int s, std::uint64_t made, std::uint64_t version, bool unsure) {
+  Held* held = find(s, made);
+  if (!held) return;  // the watch told
+  if (held->key_version != version) {
+    held->handing_back = false;
+    return;
+  }
+  const std::string key = kHolder + std::to_string(s);
+  needs_.store.commit({{key, version}}, {{key, nullptr, {}, true}}, store::Urgency::user,
+                      [this, s, made, version, unsure](int code, std::uint64_t) {
+                        Held* h = find(s, made);
+                        if (!h || code == 200) return;
+                        if (code != 0 && code != 409 && !unsure) {
+                          h->handing_back = false;
+                          return;
+                        }
+                        needs_.loop.later(kHandBackAgain,
+                                          [this, s, made, version] { remove_key(s, made, version, true); });
                       });
 }
 
--- a/src/app/keeper.h
+++ b/src/app/keeper.h
@@ -89,6 +89,7 @@
   void take_share(int share);
   void take_leader();
   void hand_back(int share);
+  void remove_key(int share, std::uint64_t made, std::uint64_t version, bool unsure);
   void raise_epoch(int share, Held& held);
   void make_holder(int share, const share::HolderKey& key);
   void load_done(int share, std::uint64_t made);
--- a/src/app/recorder.cpp
+++ b/src/app/recorder.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t kWithdrawnAtOnce = 8;
 constexpr Micros kFinishAgain = 300 * kMillisecond;
 constexpr Micros kMoveAgain = 100 * kMillisecond;
-constexpr Micros kMoveUnknown = 10 * kSecond;
+constexpr Micros kMoveUnknown = kSecond;
 
 std::string progress_key(int share, const std::string& job, std::uint32_t row) {
   return kProgress + std::to_string(share) + "/" + job + "/" + share::Holder::row_name(row);
@@ -191,18 +191,43 @@
   // The new share's epoch may be lower than ours, which the worker has seen.
   if (to >= 0) m.epoch = std::max(held->epoch, m.epoch) + 1;
   spdlog::info("machine {} leaves share {} for {}", machine, from, to);
-  needs_.store.commit({{kMachine + machine, m.version}, {holder_key(from), held->key_version}},
-                      {{kMachine + machine, share::machine_to_json(m), {}, false}},
-                      to >= 0 ? store::Urgency::user : store::Urgency::background,
-                      [this, machine, from](int code, std::uint64_t) {
-                        // Surely not moved: it is used again. When unknown, the watch or the takeover of the
-                        // share tells.
-                        needs_.loop.later(code == 0 ? kMoveUnknown : kMoveAgain, [this, machine, from, code] {
-                          moving_.erase(machine);
-                          if (auto* h = needs_.keeper.find(from); h && code != 200 && code != 0)
-                            h->holder->keep(machine);
-                        });
-                      });
+  commit_move(std::move(m), from, held->made, held->key_version, false);
+}
+
+/// Until it is known whether the machine has moved: a request that got lost left it to nobody, and paid for.
+/// `unsure`: an earlier try may be executed yet; it is guarded by the same rows.
+void Recorder::commit_move(share::MachineRecord m, int from, std::uint64_t made, std::uint64_t key_version,
+                           bool unsure) {
+  const std::string id = m.id;
+  Keeper::Held* held = needs_.keeper.find(from, made);
+  const auto* known = needs_.records.machine(id);
+  if (!held || !known || known->version != m.version) {  // the watch told, or the takeover of the share will
+    moving_.erase(id);
+    return;
+  }
+  if (held->key_version != key_version) return stay(id, from);
+  const auto urgency = m.share >= 0 ? store::Urgency::user : store::Urgency::background;
+  std::vector<wire::Write> writes{{kMachine + id, share::machine_to_json(m), {}, false}};
+  needs_.store.commit(
+      {{kMachine + id, m.version}, {holder_key(from), key_version}}, std::move(writes), urgency,
+      [this, m = std::move(m), from, made, key_version, unsure](int code, std::uint64_t) mutable {
+        const bool not_known = code == 0 || code == 409 || unsure;
+        needs_.loop.later(code != 200 && not_known ? kMoveUnknown : kMoveAgain,
+                          [this, m = std::move(m), from, made, key_version, code, not_known]() mutable {
+                            if (code == 200)
+                              moving_.erase(m.id);
+                            else if (not_known)
+                              commit_move(std::move(m), from, made, key_version, true);
+                            else
+                              stay(m.id, from);
+                          });
+      });
+}
+
+/// Surely not moved: it is used again.
+void Recorder::stay(const std::string& machine, int from) {
+  moving_.erase(machine);
+  if (auto* held = needs_.keeper.find(from)) held->holder->keep(machine);
 }
 
 }  // namespace aspenwick::app
--- a/src/app/recorder.h
+++ b/src/app/recorder.h
@@ -37,6 +37,9 @@
   void withdraw_doomed();
   bool withdraw_doomed(int share, const Keeper::Held& held);
   void write_done();
+  void commit_move(share::MachineRecord to_be, int from, std::uint64_t made, std::uint64_t key_version,
+                   bool unsure);
+  void stay(const std::string& machine, int from);
   void wrote_done(int share, std::uint64_t made, const share::Holder::DoneWrite& write);
 
   const wire::PlatformSettings& platform_;
