--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -75,13 +75,13 @@
   if (path.starts_with(kJobs + "/")) {
     std::string id = path.substr(kJobs.size() + 1);
     static const std::string kWithdraw = "/withdraw";
-    const bool to_withdraw = id.ends_with(kWithdraw);
-    if (to_withdraw) id.resize(id.size() - kWithdraw.size());
+    const bool to_cancel = id.ends_with(kWithdraw);
+    if (to_cancel) id.resize(id.size() - kWithdraw.size());
     if (id.find('/') != std::string::npos || id.empty())
       return x->answer(404, wire::error_body("no such path"));
-    if (to_withdraw ? !post : !get) return x->refuse_method(to_withdraw ? "POST" : "GET");
+    if (to_cancel ? !post : !get) return x->refuse_method(to_cancel ? "POST" : "GET");
     if (!wire::valid_job_id(id)) return x->answer(404, wire::error_body("no such job"));
-    return to_withdraw ? users_desk_.withdraw(x, id) : users_desk_.status(x, id);
+    return to_cancel ? users_desk_.cancel(x, id) : users_desk_.status(x, id);
   }
   x->answer(404, wire::error_body("no such path"));
 }
--- a/src/app/peer_desk.cpp
+++ b/src/app/peer_desk.cpp
@@ -81,7 +81,7 @@
     if (heartbeats_.reads(peer.name))
       tell_cancellations(peer.name);
     else
-      needs_.peers.send(peer.name, share::WithdrawnTell{job});
+      needs_.peers.send(peer.name, share::PlainCancelTell{job});
 }
 
 bool PeerDesk::heard_all() const {
@@ -129,7 +129,7 @@
     heard(*q, reply);
   else if (const auto* t = std::get_if<share::StatusTell>(&frame))
     needs_.status_told(*t);
-  else if (const auto* w = std::get_if<share::WithdrawnTell>(&frame))
+  else if (const auto* w = std::get_if<share::PlainCancelTell>(&frame))
     heard(*w);
   else if (const auto* c = std::get_if<share::CancelTell>(&frame))
     heard(*c);
@@ -183,7 +183,7 @@
   reply(t);
 }
 
-void PeerDesk::heard(const share::WithdrawnTell& w) {
+void PeerDesk::heard(const share::PlainCancelTell& w) {
   // Of no known revision: the record that says it is still to come.
   if (needs_.records.job(w.job)) needs_.records.cancelled_elsewhere(w.job, 0);
   needs_.records.follow_graph();
--- a/src/app/peer_desk.h
+++ b/src/app/peer_desk.h
@@ -1,4 +1,4 @@
-// What nodes tell each other: the gossip of shares, requests for machines, the status of jobs, withdrawals
+// What nodes tell each other: the gossip of shares, requests for machines, the status of jobs, cancellations
 // ahead of the watch.
 #pragma once
 #include <functional>
@@ -69,7 +69,7 @@
   void heard(const share::Gossip& gossip);
   void heard(const share::ReleaseAsk& ask);
   void heard(const share::StatusAsk& ask, const share::Peers::Reply& reply);
-  void heard(const share::WithdrawnTell& tell);
+  void heard(const share::PlainCancelTell& tell);
   void heard(const share::CancelTell& tell);
   void heard(const share::Heartbeat& heartbeat);
   void heartbeat(const std::string& peer);
--- a/src/app/recorder.cpp
+++ b/src/app/recorder.cpp
@@ -14,7 +14,7 @@
 constexpr double kProgressPart = 0.3;  // of the changes that the state service takes
 constexpr double kMovePart = 0.25;     // the same, for one node's moves
 constexpr std::size_t kDoneAtOnce = 4;
-constexpr std::size_t kWithdrawnAtOnce = 8;
+constexpr std::size_t kCancelledAtOnce = 8;
 constexpr Micros kFinishAgain = 300 * kMillisecond;
 constexpr Micros kMoveAgain = 100 * kMillisecond;
 constexpr Micros kMoveUnknown = kSecond;
@@ -28,7 +28,7 @@
 
 void Recorder::tick() {
   finish_jobs();
-  withdraw_doomed();
+  cancel_doomed();
   const bool all_new = needs_.records.all_read_units();
   for (auto& [s, held] : needs_.keeper.held()) held.holder->set_all_read_units(all_new);
   write_done();
@@ -126,43 +126,43 @@
                       });
 }
 
-/// The records below a withdrawn job follow what users are told already: in batches, by whoever holds the
+/// The records below a cancelled job follow what users are told already: in batches, by whoever holds the
 /// share.
-void Recorder::withdraw_doomed() {
-  if (withdrawing_ || needs_.records.graph().to_withdraw().empty() || !needs_.store.writes_spare()) return;
+void Recorder::cancel_doomed() {
+  if (cancelling_ || needs_.records.graph().to_cancel().empty() || !needs_.store.writes_spare()) return;
   for (auto& [s, held] : needs_.keeper.held())
-    if (needs_.keeper.may_start(held) && withdraw_doomed(s, held)) return;
+    if (needs_.keeper.may_start(held) && cancel_doomed(s, held)) return;
 }
 
-bool Recorder::withdraw_doomed(int s, const Keeper::Held& held) {
+bool Recorder::cancel_doomed(int s, const Keeper::Held& held) {
   std::vector<wire::Guard> guards{{holder_key(s), held.key_version}};
   std::vector<wire::Write> writes;
   std::vector<std::string> ids;
-  for (const auto& id : needs_.records.graph().to_withdraw()) {
+  for (const auto& id : needs_.records.graph().to_cancel()) {
     const auto* j = needs_.records.job(id);
     if (!j || j->final() || !j->spec) continue;
     if (needs_.keeper.ownership().share_of_team(j->spec->team) != s) continue;
     guards.push_back({kJob + id, j->version});
-    writes.push_back({kJob + id, job::withdrawn_value(*j, platform_.value_room()), {}, false});
+    writes.push_back({kJob + id, job::cancelled_value(*j, platform_.value_room()), {}, false});
     ids.push_back(id);
-    if (ids.size() >= std::min(needs_.store.txn_ops(), withdraw_batch_)) break;
+    if (ids.size() >= std::min(needs_.store.txn_ops(), cancel_batch_)) break;
   }
   if (ids.empty()) return false;
-  withdrawing_ = true;
+  cancelling_ = true;
   needs_.store.commit(std::move(guards), std::move(writes), store::Urgency::background,
                       [this, ids](int code, std::uint64_t revision) {
-                        withdrawing_ = false;
+                        cancelling_ = false;
                         // One of them was changed elsewhere: the watch tells which, the rest go on one by
                         // one.
-                        withdraw_batch_ = code == 409 ? 1 : kWithdrawnAtOnce;
+                        cancel_batch_ = code == 409 ? 1 : kCancelledAtOnce;
                         if (code != 200) return;
-                        spdlog::info("withdrawn with a job that they need: {} jobs, {} ...", ids.size(),
+                        spdlog::info("cancelled with a job that they need: {} jobs, {} ...", ids.size(),
                                      ids[0]);
                         for (const auto& id : ids) {
                           const auto* known = needs_.records.job(id);
                           if (!known || known->final()) continue;
                           job::JobRecord record = *known;
-                          record.status = JobStatus::withdrawn;
+                          record.status = JobStatus::cancelled;
                           record.version = revision;
                           needs_.records.drop_parts(id, record);
                           needs_.records.set_job(id, std::move(record));
--- a/src/app/recorder.h
+++ b/src/app/recorder.h
@@ -1,5 +1,5 @@
 // What holders have decided, into the state service: done-sets at a pace, finished jobs at once, what a
-// withdrawal above has ended, and machines that leave a share.
+// cancellation above has ended, and machines that leave a share.
 #pragma once
 #include <cstddef>
 #include <functional>
@@ -34,8 +34,8 @@
  private:
   void finish_jobs();
   void finished(int share, std::uint64_t made, const std::string& id);
-  void withdraw_doomed();
-  bool withdraw_doomed(int share, const Keeper::Held& held);
+  void cancel_doomed();
+  bool cancel_doomed(int share, const Keeper::Held& held);
   void write_done();
   void commit_move(share::MachineRecord to_be, int from, std::uint64_t made, std::uint64_t key_version,
                    bool unsure);
@@ -44,8 +44,8 @@
 
   const wire::PlatformSettings& platform_;
   Needs needs_;
-  bool withdrawing_ = false;
-  std::size_t withdraw_batch_ = 8;
+  bool cancelling_ = false;
+  std::size_t cancel_batch_ = 8;
   std::set<std::string> moving_;
   Micros last_done_ = 0, last_move_ = 0;
   double progress_level_ = 0, move_level_ = 0;
--- a/src/app/records.cpp
+++ b/src/app/records.cpp
@@ -105,15 +105,15 @@
   }
   if (known->final()) return;
   job::JobRecord record = *known;
-  record.status = JobStatus::withdrawn;
+  record.status = JobStatus::cancelled;
   record.version = std::max(record.version, revision);
   set_job(id, std::move(record));
 }
 
 void Records::set_job(const std::string& id, job::JobRecord record) {
   job::JobRecord& kept = jobs_[id];
-  const bool news = record.status == JobStatus::withdrawn &&
-                    (kept.status != JobStatus::withdrawn || kept.version < record.version);
+  const bool news = record.status == JobStatus::cancelled &&
+                    (kept.status != JobStatus::cancelled || kept.version < record.version);
   if (news) needs_.cancelled(id, record.version);
   // A record in parts is whole once they are all here; one written before keeps its spec.
   if (!record.spec && kept.spec && record.status != JobStatus::done) record.spec = kept.spec;
--- a/src/app/users_desk.cpp
+++ b/src/app/users_desk.cpp
@@ -13,7 +13,7 @@
 namespace {
 constexpr Micros kPeerAnswer = 300 * kMillisecond;
 constexpr int kMostLookUps = 32;                  // of needed jobs that we don't know, for one submission
-constexpr int kWithdrawTries = 3;                 // against changes made elsewhere meanwhile
+constexpr int kCancelTries = 3;                   // against changes made elsewhere meanwhile
 constexpr std::size_t kTransactionRoom = 40'000;  // of the 64 KiB that a transaction may take
 }  // namespace
 
@@ -27,9 +27,9 @@
   tell(x, id);
 }
 
-void UsersDesk::withdraw(const ExchangePtr& x, const std::string& id) {
+void UsersDesk::cancel(const ExchangePtr& x, const std::string& id) {
   ++requests_;
-  withdraw(x, id, kWithdrawTries);
+  cancel(x, id, kCancelTries);
 }
 
 void UsersDesk::told(const share::StatusTell& t) {
@@ -152,7 +152,7 @@
           }
           return s->exchange->answer(
               201, wire::status_body(
-                       id, needs_.records.graph().doomed(id) ? JobStatus::withdrawn : JobStatus::queued));
+                       id, needs_.records.graph().doomed(id) ? JobStatus::cancelled : JobStatus::queued));
         }
         // Without an answer the record may be there, and needs its parts. So it may when it is there already:
         // this may be the answer to a copy of our own request.
@@ -182,19 +182,19 @@
   if (const auto* known = needs_.records.job(id)) {
     if (known->final()) return x->answer(200, wire::status_body(id, known->status));
     // Told from the graph as soon as the cancellation above it is known; its own record follows.
-    if (needs_.records.graph().doomed(id)) return x->answer(200, wire::status_body(id, JobStatus::withdrawn));
+    if (needs_.records.graph().doomed(id)) return x->answer(200, wire::status_body(id, JobStatus::cancelled));
   }
   if (!needs_.records.synced()) return retry(x, "starting");
   // What is not final may have become so elsewhere: only a fresh read may say that it has not. Of all records
   // at once, shared by all who ask meanwhile: a read for each poll took more than a node's part of the
   // requests where one node had all users, and they waited longer than they wait. A job that needs others may
-  // be withdrawn by a record far above it in any case.
+  // be cancelled by a record far above it in any case.
   needs_.records.fresh_jobs([this, x, id](bool ok) {
     const auto* known = needs_.records.job(id);
     if (!ok) return retry(x, "state service");
     if (!known) return look_up(x, id);
     if (known->final()) return x->answer(200, wire::status_body(id, known->status));
-    if (needs_.records.graph().doomed(id)) return x->answer(200, wire::status_body(id, JobStatus::withdrawn));
+    if (needs_.records.graph().doomed(id)) return x->answer(200, wire::status_body(id, JobStatus::cancelled));
     if (!known->spec || !needs_.records.graph().whole(id)) return retry(x, "still being read");
     if (!needs_.records.graph().ready(id))
       return x->answer(200, wire::status_body(id, JobStatus::queued, std::pair{0U, 0U}));
@@ -234,10 +234,10 @@
   x->answer(200, wire::status_body(id, tally.second > 0 ? JobStatus::running : JobStatus::queued, tally));
 }
 
-void UsersDesk::withdraw(const ExchangePtr& x, const std::string& id, int tries) {
+void UsersDesk::cancel(const ExchangePtr& x, const std::string& id, int tries) {
   const auto* known = needs_.records.job(id);
   if (known && known->final()) return x->answer(200, wire::status_body(id, known->status));
-  if (needs_.records.graph().doomed(id)) return x->answer(200, wire::status_body(id, JobStatus::withdrawn));
+  if (needs_.records.graph().doomed(id)) return x->answer(200, wire::status_body(id, JobStatus::cancelled));
   if (!needs_.records.synced() || tries == 0) return retry(x, "state service");
   needs_.store.get(kJob + id, store::Urgency::accept, [this, x, id, tries](int code, const wire::Row& row) {
     if (code == 404) return x->answer(404, wire::error_body("no such job"));
@@ -257,14 +257,14 @@
       needs_.poke();
       return x->answer(200, wire::status_body(id, status));
     }
-    record.status = JobStatus::withdrawn;
+    record.status = JobStatus::cancelled;
     if (const auto* known = needs_.records.job(id); !record.spec && known) record.spec = known->spec;
-    // `done` and `withdrawn` race by the guard: one of them finds the record changed.
+    // `done` and `cancelled` race by the guard: one of them finds the record changed.
     needs_.store.commit({{kJob + id, row.version}},
-                        {{kJob + id, job::withdrawn_value(record, platform_.value_room()), {}, false}},
+                        {{kJob + id, job::cancelled_value(record, platform_.value_room()), {}, false}},
                         store::Urgency::accept,
                         [this, x, id, tries, record](int commit, std::uint64_t revision) mutable {
-                          if (commit == 409) return withdraw(x, id, tries - 1);
+                          if (commit == 409) return cancel(x, id, tries - 1);
                           if (commit != 200) return retry(x, "state service");
                           record.version = revision;
                           needs_.records.drop_parts(id, record);
@@ -273,7 +273,7 @@
                           // Ahead of the watch, which an outage may delay past the time a cancellation has.
                           needs_.cancelled(id);
                           needs_.poke();
-                          x->answer(200, wire::status_body(id, JobStatus::withdrawn));
+                          x->answer(200, wire::status_body(id, JobStatus::cancelled));
                         });
   });
 }
--- a/src/app/users_desk.h
+++ b/src/app/users_desk.h
@@ -1,4 +1,4 @@
-// What users ask of a node: submissions, status, withdrawals. Nothing is told before it is committed, and
+// What users ask of a node: submissions, status, cancellations. Nothing is told before it is committed, and
 // nothing older than what any node may have told.
 #pragma once
 #include <cstdint>
@@ -33,7 +33,7 @@
 
   void submit(const net::ExchangePtr& x);
   void status(const net::ExchangePtr& x, const std::string& id);
-  void withdraw(const net::ExchangePtr& x, const std::string& id);
+  void cancel(const net::ExchangePtr& x, const std::string& id);
 
   /// A peer's word on a job of a share that it holds.
   void told(const share::StatusTell& tell);
@@ -63,7 +63,7 @@
   void tell(const net::ExchangePtr& x, const std::string& id);
   void look_up(const net::ExchangePtr& x, const std::string& id);
   void tell_tally(const net::ExchangePtr& x, const std::string& id);
-  void withdraw(const net::ExchangePtr& x, const std::string& id, int tries);
+  void cancel(const net::ExchangePtr& x, const std::string& id, int tries);
   void retry(const net::ExchangePtr& x, const std::string& why);
 
   const wire::PlatformSettings& platform_;
--- a/src/job/graph.cpp
+++ b/src/job/graph.cpp
@@ -50,7 +50,7 @@
   Node& n = it == nodes_.end() ? node(id) : it->second;
   if (!n.known && record.spec) learn(n, record);
   if (record.status == JobStatus::done && n.status != JobStatus::done) record_done(n, record);
-  if (record.status == JobStatus::withdrawn && n.status != JobStatus::withdrawn) record_withdrawn(n);
+  if (record.status == JobStatus::cancelled && n.status != JobStatus::cancelled) record_cancelled(n);
 }
 
 void Graph::learn(Node& n, const JobRecord& record) {
@@ -72,7 +72,7 @@
       // It needs nothing itself, or it would have a node of its own by now.
       if (r->spec && r->spec->needs.empty()) learn(m, *r);
       if (r->status == JobStatus::done) record_done(m, *r);
-      if (r->status == JobStatus::withdrawn) record_withdrawn(m);
+      if (r->status == JobStatus::cancelled) record_cancelled(m);
     }
     n.needs.push_back(&m);
     m.dependents.push_back(&n);
@@ -83,10 +83,10 @@
     } else {
       ++n.open;
     }
-    if (m.doomed || m.status == JobStatus::withdrawn) n.doomed = true;
+    if (m.doomed || m.status == JobStatus::cancelled) n.doomed = true;
   }
   if (n.doomed && record.status == JobStatus::queued) {
-    to_withdraw_.insert(n.id);
+    to_cancel_.insert(n.id);
     doom_below(n);
   }
   mark(n);
@@ -116,9 +116,9 @@
   }
 }
 
-void Graph::record_withdrawn(Node& n) {
-  n.status = JobStatus::withdrawn;
-  to_withdraw_.erase(n.id);
+void Graph::record_cancelled(Node& n) {
+  n.status = JobStatus::cancelled;
+  to_cancel_.erase(n.id);
   doom_below(n);
   reconsider(n.needs);
 }
@@ -133,7 +133,7 @@
     for (Node* d : from.dependents) {
       if (d->doomed) continue;
       d->doomed = true;
-      if (d->status == JobStatus::queued) to_withdraw_.insert(d->id);
+      if (d->status == JobStatus::queued) to_cancel_.insert(d->id);
       mark(*d);
       next.push_back(d);
       granted.insert(granted.end(), d->needs.begin(), d->needs.end());
--- a/src/job/graph.h
+++ b/src/job/graph.h
@@ -2,8 +2,8 @@
 // fed each job's record as the state service holds it, in whatever order the records come.
 //
 // Invariant: a job is ready only once every job that it needs is recorded as done; a holder's belief or a
-// peer's message isn't enough. As done and withdrawn are both final, a ready job has no needed job left to
-// cancel, and what stands below a withdrawn job can never become ready.
+// peer's message isn't enough. As done and cancelled are both final, a ready job has no needed job left to
+// cancel, and what stands below a cancelled job can never become ready.
 #pragma once
 #include <cstdint>
 #include <deque>
@@ -36,7 +36,7 @@
 
   /// Nothing that it needs is missing. Jobs that need nothing always are.
   bool ready(const std::string& id) const;
-  /// A job that it needs, directly or through others, is withdrawn: users are told that it is withdrawn too.
+  /// A job that it needs, directly or through others, is cancelled: users are told that it is cancelled too.
   bool doomed(const std::string& id) const;
   /// All undecided jobs above it are known here; else a cancellation far above might be missed.
   bool whole(const std::string& id) const;
@@ -46,8 +46,8 @@
 
   /// Undecided jobs whose readiness or course has changed since last asked.
   std::vector<std::string> take_changed();
-  /// Below a withdrawn job, while their own records still say queued.
-  const std::set<std::string>& to_withdraw() const { return to_withdraw_; }
+  /// Below a cancelled job, while their own records still say queued.
+  const std::set<std::string>& to_cancel() const { return to_cancel_; }
   /// Latest finishes with the stage lengths seen by now.
   void replan();
 
@@ -75,7 +75,7 @@
   Node& node(const std::string& id);
   void learn(Node& n, const JobRecord& record);
   void record_done(Node& n, const JobRecord& record);
-  void record_withdrawn(Node& n);
+  void record_cancelled(Node& n);
   void doom_below(Node& n);
   void mark(Node& n);
   Micros length(const Node& n) const;
@@ -87,7 +87,7 @@
   std::unordered_map<std::string, Node> nodes_;
   std::unordered_map<std::string, ClassHistory> history_;
   std::vector<Node*> changed_;
-  std::set<std::string> to_withdraw_;
+  std::set<std::string> to_cancel_;
 };
 
 }  // namespace aspenwick::job
--- a/src/job/record.cpp
+++ b/src/job/record.cpp
@@ -44,9 +44,9 @@
   return std::make_shared<const JobSpec>(wire::job_from_json(wire::Json::parse(text)));
 }
 
-wire::Json withdrawn_value(const JobRecord& r, std::size_t limit) {
+wire::Json cancelled_value(const JobRecord& r, std::size_t limit) {
   JobRecord w = r;
-  w.status = JobStatus::withdrawn;
+  w.status = JobStatus::cancelled;
   if (!w.spec) return record_to_json(w);
   wire::JobSpec spec = *w.spec;
   spec.types.reset();
@@ -86,7 +86,7 @@
   r.version = version;
   const auto status = j.at("st").get<std::string>();
   r.status = status == "done"        ? JobStatus::done
-             : status == "withdrawn" ? JobStatus::withdrawn
+             : status == "withdrawn" ? JobStatus::cancelled
                                      : JobStatus::queued;
   r.submitted = j.at("at").get<Micros>();
   if (auto it = j.find("fin"); it != j.end() && it->is_number_integer()) r.finished = it->get<Micros>();
--- a/src/job/record.h
+++ b/src/job/record.h
@@ -13,11 +13,11 @@
 using wire::JobSpec;
 using wire::JobStatus;
 
-/// A job as the state service holds it. Done ones keep only the status; withdrawn ones the spec as well,
+/// A job as the state service holds it. Done ones keep only the status; cancelled ones the spec as well,
 /// since their tasks count against the team's limit until they are gone.
 struct JobRecord {
   std::shared_ptr<const JobSpec> spec;
-  JobStatus status = JobStatus::queued;  // queued, done or withdrawn
+  JobStatus status = JobStatus::queued;  // queued, done or cancelled
   Micros submitted = 0;                  // time of day
   Micros finished = 0;                   // time of day; 0: not done, or recorded by a version that kept none
   std::uint64_t version = 0;
@@ -37,9 +37,9 @@
 };
 RecordRows rows_of(const JobRecord& r, std::size_t limit, const std::string& tag);
 std::shared_ptr<const JobSpec> spec_from_parts(const std::vector<std::string>& parts);  // throws as above
-/// A withdrawn job's value: of the spec only what stopping its tasks and its team's limit need, within
+/// A cancelled job's value: of the spec only what stopping its tasks and its team's limit need, within
 /// `limit`.
-wire::Json withdrawn_value(const JobRecord& r, std::size_t limit);
+wire::Json cancelled_value(const JobRecord& r, std::size_t limit);
 /// Machine types as one value (`s/types`), or as several that say how many they are.
 std::vector<wire::Json> types_rows(const std::vector<wire::MachineType>& types, std::size_t limit);
 /// Keeps of the allowed machine types those that exist and hold a task: others change nothing and may be
--- a/src/place/picture.cpp
+++ b/src/place/picture.cpp
@@ -71,7 +71,7 @@
   }
   j->active.erase(p.index);
   --j->in_zone[static_cast<std::size_t>(m.zone)];
-  if (j->withdrawn || j->finished) {
+  if (j->cancelled || j->finished) {
     erase_if_over(p.job_id);
     return;
   }
@@ -111,7 +111,7 @@
 
 void Picture::erase_if_over(const std::string& id) {
   auto it = jobs.find(id);
-  if (it != jobs.end() && (it->second->withdrawn || it->second->finished) && it->second->active.empty())
+  if (it != jobs.end() && (it->second->cancelled || it->second->finished) && it->second->active.empty())
     jobs.erase(it);
 }
 
--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -150,7 +150,7 @@
   std::optional<Micros> finish_by;    // its deadline, or for what follows
   std::uint64_t version = 0;
   bool fresh = false;  // accepted after our takeover: nothing of it can run yet
-  bool withdrawn = false, finished = false, committing = false;
+  bool cancelled = false, finished = false, committing = false;
   DoneSet done, recorded, recorded_whole;  // recorded_whole: in rows that every version reads
   std::map<std::uint32_t, std::uint64_t> row_versions;
   std::set<std::uint32_t> dirty, in_flight;  // units with unrecorded results; rows being written
--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -105,7 +105,7 @@
   using Aim = Waiting::Aim;
   std::vector<Waiting> list;
   for (auto& [id, j] : picture_.jobs) {
-    if (j->withdrawn || j->finished || j->waiting() == 0) continue;
+    if (j->cancelled || j->finished || j->waiting() == 0) continue;
     list.push_back({j.get(), rank_now(*j, now), quota_.within_guarantee(*j), Aim::deadline, slack(*j, now),
                     j->waiting() * run_time(*j)});
     // Once a deadline can no longer be kept, the job makes way for those that still can.
@@ -408,7 +408,7 @@
   if (j.spec->shape != Shape::gang || !j.spec->spot || j.spec->checkpoint_every == 0 ||
       j.spec->need.gpus == 0)
     return false;
-  if (j.withdrawn || j.finished || j.committing || j.active.size() != j.spec->tasks) return false;
+  if (j.cancelled || j.finished || j.committing || j.active.size() != j.spec->tasks) return false;
   if (now - j.moved < kMoveAgain && j.moved > 0) return false;
   bool ordinary = false;
   for (const auto& [index, m] : j.active) {
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -89,7 +89,7 @@
   if (record.final()) {
     if (it == picture_.jobs.end()) return;
     Job& j = *it->second;
-    (record.status == wire::JobStatus::withdrawn ? j.withdrawn : j.finished) = true;
+    (record.status == wire::JobStatus::cancelled ? j.cancelled : j.finished) = true;
     const auto active = j.active;  // halting a task not yet sent removes it
     for (const auto& [index, m] : active) {
       auto p = m->tasks.find({id, index});
@@ -296,7 +296,7 @@
       auto q = other.tasks.find({t.job, t.index});
       if (q != other.tasks.end() && q->second.phase == Phase::assigned) picture_.drop(other, q, now, true);
     }
-    if (!j.withdrawn && !j.finished && !j.done.test(t.index) && !j.active.contains(t.index)) {
+    if (!j.cancelled && !j.finished && !j.done.test(t.index) && !j.active.contains(t.index)) {
       p.job = &j;
       if (t.state != TaskState::fetching) m.used_image(*j.spec);
     } else if (!j.active.contains(t.index)) {
@@ -337,7 +337,7 @@
       }
     }
     // The result is forgotten only once it is recorded, or a crash here would lose it.
-    if (surely_recorded(*j, t.index) || j->finished || j->withdrawn)
+    if (surely_recorded(*j, t.index) || j->finished || j->cancelled)
       m.forgets.push_back({Order::Verb::forget, t.job, t.index, t.attempt, 0});
     picture_.erase_if_over(t.job);
     return;
--- a/src/share/holder_answers.cpp
+++ b/src/share/holder_answers.cpp
@@ -26,7 +26,7 @@
 std::size_t Holder::waiting() const {
   std::size_t n = 0;
   for (const auto& [id, j] : picture_.jobs)
-    if (!j->withdrawn && !j->finished) n += j->waiting();
+    if (!j->cancelled && !j->finished) n += j->waiting();
   return n;
 }
 
--- a/src/share/holder_records.cpp
+++ b/src/share/holder_records.cpp
@@ -34,7 +34,7 @@
   // Most unrecorded results first: in the order of names some jobs would never have their turn.
   std::vector<Job*> dirty;
   for (auto& [id, j] : picture_.jobs)
-    if (!j->withdrawn && !j->finished && !j->committing && !j->done.all() && !j->dirty.empty())
+    if (!j->cancelled && !j->finished && !j->committing && !j->done.all() && !j->dirty.empty())
       dirty.push_back(j.get());
   std::sort(dirty.begin(), dirty.end(), [](const Job* a, const Job* b) {
     return a->done.count() - a->recorded.count() > b->done.count() - b->recorded.count();
@@ -99,7 +99,7 @@
 std::vector<std::string> Holder::complete_jobs() const {
   std::vector<std::string> out;
   for (const auto& [id, j] : picture_.jobs)
-    if (!j->withdrawn && !j->finished && !j->committing && j->done.all() && j->in_flight.empty())
+    if (!j->cancelled && !j->finished && !j->committing && j->done.all() && j->in_flight.empty())
       out.push_back(id);
   return out;
 }
--- a/src/share/peer_frame.cpp
+++ b/src/share/peer_frame.cpp
@@ -65,7 +65,7 @@
   kRelease,
   kStatusAsk,
   kStatusTell,
-  kWithdrawn,
+  kPlainCancel,
   kHeartbeat = 7,
   kCancel
 };
@@ -181,8 +181,8 @@
     body.num<std::uint8_t>(t->known);
     body.num<std::uint32_t>(t->done);
     body.num<std::uint32_t>(t->running);
-  } else if (const auto* w = std::get_if<WithdrawnTell>(&frame)) {
-    type = kWithdrawn;
+  } else if (const auto* w = std::get_if<PlainCancelTell>(&frame)) {
+    type = kPlainCancel;
     body.text(w->job);
   } else if (const auto* b = std::get_if<Heartbeat>(&frame)) {
     type = kHeartbeat;
@@ -276,8 +276,8 @@
       out = t;
       break;
     }
-    case kWithdrawn:
-      out = WithdrawnTell{r.text()};
+    case kPlainCancel:
+      out = PlainCancelTell{r.text()};
       break;
     case kHeartbeat: {
       Heartbeat b;
--- a/src/share/peer_frame.h
+++ b/src/share/peer_frame.h
@@ -59,8 +59,8 @@
   bool known = false;
   std::uint32_t done = 0, running = 0;
 };
-/// A job was withdrawn; told ahead of the watch to the version before, which reads no CancelTell.
-struct WithdrawnTell {
+/// A job was cancelled; told ahead of the watch to the version before, which reads no CancelTell.
+struct PlainCancelTell {
   std::string job;
 };
 /// Jobs that are cancelled: of those that the sender has numbered above `from`, up to `upto`, all whose
@@ -74,7 +74,7 @@
   std::uint64_t incarnation = 0, from = 0, upto = 0;
   std::vector<Job> jobs;
 };
-using Frame = std::variant<Gossip, ReleaseAsk, StatusAsk, StatusTell, WithdrawnTell, Heartbeat, CancelTell>;
+using Frame = std::variant<Gossip, ReleaseAsk, StatusAsk, StatusTell, PlainCancelTell, Heartbeat, CancelTell>;
 
 std::string encode(const Frame& frame);
 /// The same in as many frames as their bound asks for, one if it can be: each with some of the shares. A
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -80,7 +80,7 @@
 JobSpec job_from_json(const Json& j);        // throws Malformed
 Json job_to_json(const JobSpec& spec);
 
-enum class JobStatus : std::uint8_t { queued, running, done, withdrawn };
+enum class JobStatus : std::uint8_t { queued, running, done, cancelled };
 std::string status_body(const std::string& id, JobStatus status,
                         std::optional<std::pair<std::uint32_t, std::uint32_t>> done_running = {});
 std::string error_body(const std::string& reason);
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -29,7 +29,7 @@
       const auto told = w.ask(n, Method::post, "/v1/jobs/" + id + "/withdraw");
       if (told.status != 200) continue;
       EXPECT_EQ(told.body.at("status"), "withdrawn");
-      w.withdrawn.emplace(id, w.engine.now);
+      w.cancelled.emplace(id, w.engine.now);
       return;
     }
     ADD_FAILURE() << id << " was not cancelled";
--- a/tests/compatibility_test.cpp
+++ b/tests/compatibility_test.cpp
@@ -99,10 +99,10 @@
   j["rigtypes"] = std::vector<std::string>(100, std::string(180, 't'));
   j["jobclass"] = std::string(200, '\1');
   r.spec = std::make_shared<wire::JobSpec>(wire::job_from_json(j));
-  const auto withdrawn = job::withdrawn_value(r, 1792);
-  EXPECT_LE(withdrawn.dump().size(), 1792U);
-  EXPECT_EQ(job::record_from_json(withdrawn, 4).spec->team, "red");
-  EXPECT_EQ(job::record_from_json(withdrawn, 4).spec->need, r.spec->need);
+  const auto cancelled = job::cancelled_value(r, 1792);
+  EXPECT_LE(cancelled.dump().size(), 1792U);
+  EXPECT_EQ(job::record_from_json(cancelled, 4).spec->team, "red");
+  EXPECT_EQ(job::record_from_json(cancelled, 4).spec->need, r.spec->need);
 }
 
 /// A holder of one job of 20,000 tasks, whose whole chunk takes more than a value may.
--- a/tests/graph_test.cpp
+++ b/tests/graph_test.cpp
@@ -39,10 +39,10 @@
   accept(0, {});
   for (int i = 1; i < kJobs; ++i) accept(i, {i - 1});
   EXPECT_FALSE(graph_.doomed(name(kJobs - 1)));
-  end(0, JobStatus::withdrawn);
+  end(0, JobStatus::cancelled);
   EXPECT_TRUE(graph_.doomed(name(1)));
   EXPECT_TRUE(graph_.doomed(name(kJobs - 1)));
-  EXPECT_EQ(graph_.to_withdraw().size(), kJobs - 1U);
+  EXPECT_EQ(graph_.to_cancel().size(), kJobs - 1U);
 }
 
 TEST_F(GraphTest, AWideFanOpensAtOnce) {
@@ -72,13 +72,13 @@
   }
   EXPECT_EQ(graph_.course(name(0), records_.at(name(0))).rank, wire::Rank::high);
   graph_.replan();
-  end(180, JobStatus::withdrawn);
+  end(180, JobStatus::cancelled);
   EXPECT_EQ(graph_.course(name(0), records_.at(name(0))).rank, wire::Rank::low);
   for (int i = 0; i < 180; ++i) {
     EXPECT_TRUE(graph_.ready(name(i)));
     end(i, JobStatus::done);
   }
-  EXPECT_TRUE(graph_.to_withdraw().empty());
+  EXPECT_TRUE(graph_.to_cancel().empty());
 }
 
 TEST_F(GraphTest, SeenAgainARecordChangesNothing) {
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -77,7 +77,7 @@
   w.state_refuses = w.cut_off = {"a"};
   w.engine.run_for(kSecond);
   EXPECT_EQ(w.ask("c", Method::post, "/v1/jobs/j-1/withdraw").status, 200);
-  w.withdrawn.emplace("j-1", w.engine.now);
+  w.cancelled.emplace("j-1", w.engine.now);
   // The cut-off one says nothing older than what another has told.
   for (int i = 0; i < 60; ++i) {
     const auto told = w.ask("a", Method::get, "/v1/jobs/j-1");
@@ -251,7 +251,7 @@
     if (!told_.emplace(id, said).second) return;
     if (said == "withdrawn") {
       EXPECT_TRUE(may_be_cancelled(id)) << id << " was never cancelled";
-      w_.withdrawn.emplace(id, w_.engine.now);
+      w_.cancelled.emplace(id, w_.engine.now);
       return;
     }
     for (int i = 0; i < w_.submitted.at(id).at("pieces").get<int>(); ++i)
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -208,7 +208,7 @@
         if (const auto n = any_up(); !n.empty())
           if (const auto a = w.ask(n, Method::post, "/v1/jobs/" + *it + "/withdraw");
               a.status == 200 && a.body.at("status") == "withdrawn")
-            w.withdrawn.emplace(*it, w.engine.now);
+            w.cancelled.emplace(*it, w.engine.now);
     }
     w.engine.run_for(from_seconds(some({0.2, 1, 3})));
   }
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -34,10 +34,10 @@
   r.spec = std::make_shared<wire::JobSpec>(wire::job_from_json(testing::job_json()));
   r.submitted = 5;
   EXPECT_EQ(record_from_json(record_to_json(r), 3).spec->id, "j-000412");
-  r.status = JobStatus::withdrawn;
+  r.status = JobStatus::cancelled;
   // Its tasks count against the team's limit until they are gone.
   EXPECT_EQ(record_from_json(record_to_json(r), 4).spec->team, "red");
-  EXPECT_EQ(record_from_json(record_to_json(r), 4).status, JobStatus::withdrawn);
+  EXPECT_EQ(record_from_json(record_to_json(r), 4).status, JobStatus::cancelled);
   r.status = JobStatus::done;
   EXPECT_FALSE(record_to_json(r).contains("spec"));
   EXPECT_TRUE(record_from_json(record_to_json(r), 5).final());
--- a/tests/small_world.cpp
+++ b/tests/small_world.cpp
@@ -487,8 +487,8 @@
 
 /// What is on a machine counts, started or not seen to go.
 void SmallWorld::check_cancelled(const Worker& w, const std::string& task) {
-  const auto told = withdrawn.find(task.substr(0, task.find('/')));
-  if (told != withdrawn.end() && engine.now > told->second + cancel_ && ran_cancelled.empty())
+  const auto told = cancelled.find(task.substr(0, task.find('/')));
+  if (told != cancelled.end() && engine.now > told->second + cancel_ && ran_cancelled.empty())
     ran_cancelled = task + " on " + w.id + " at " + std::to_string(to_seconds(engine.now));
 }
 
--- a/tests/small_world.h
+++ b/tests/small_world.h
@@ -174,8 +174,8 @@
   int ran_twice = 0;
   std::string first_twice;           // the first such start
   std::set<std::uint64_t> attempts;  // of all starts
-  /// Jobs whose users were told that they are withdrawn, and tasks that were there too long after that.
-  std::map<std::string, Micros> withdrawn;
+  /// Jobs whose users were told that they are cancelled, and tasks that were there too long after that.
+  std::map<std::string, Micros> cancelled;
   std::string ran_cancelled;
   /// What was asked to be run, by job; more rules are judged of these: the team's limit, zone and kind of
   /// machine.
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -153,7 +153,7 @@
       holder_->job_known(words_.at(0), r, key("fresh", "yes") == "yes", now_, kWallClock);
     } else if (event == "withdrawn" || event == "finished") {
       JobRecord& r = jobs_.at(words_.at(0));
-      r.status = event == "finished" ? wire::JobStatus::done : wire::JobStatus::withdrawn;
+      r.status = event == "finished" ? wire::JobStatus::done : wire::JobStatus::cancelled;
       if (event == "finished" && keys_.contains("at"))
         r.finished = kWallClock + from_seconds(number("at", 0));
       r.version = static_cast<std::uint64_t>(number("version", 2));
@@ -221,20 +221,20 @@
   Micros wall() const { return kWallClock + now_ - kStart; }
 
   /// What the graph of jobs says: whom it lets start, what it makes of priority and deadline, who is
-  /// withdrawn.
+  /// cancelled.
   bool graph_event(const std::string& event) {
     if (event == "pipelines") {
       pipelines_ = true;
     } else if (event == "told") {
       const auto& r = jobs_.at(words_.at(0));
-      out_.push_back(graph_.doomed(words_.at(0)) || r.status == wire::JobStatus::withdrawn ? "withdrawn"
+      out_.push_back(graph_.doomed(words_.at(0)) || r.status == wire::JobStatus::cancelled ? "withdrawn"
                      : r.status == wire::JobStatus::done                                   ? "done"
                      : !graph_.whole(words_.at(0)) ? "nothing yet: ask again"
                      : graph_.ready(words_.at(0))  ? "may start"
                                                    : "queued");
     } else if (event == "to_withdraw") {
       std::string all;
-      for (const auto& id : graph_.to_withdraw()) all += " " + id;
+      for (const auto& id : graph_.to_cancel()) all += " " + id;
       out_.push_back("records to follow:" + all);
     } else {
       return false;
