Why a holder's workers are not answered is said once; what nothing needs is taken out

One list of objections decides and explains. A directed test for the record that a retry has just read, when no watch has told anybody.

--- a/src/app/keeper.cpp
+++ b/src/app/keeper.cpp
@@ -328,7 +328,21 @@
   for (const int s : own_.to_take(needs_.loop.now())) take_share(s);
   if (own_.take_leader(needs_.loop.now())) take_leader();
   if (auto s = own_.to_hand_back(needs_.loop.now())) hand_back(*s);
-  for (auto& [s, held] : held_) raise_epoch(s, held);
+  for (auto& [s, held] : held_) {
+    raise_epoch(s, held);
+    say_whether_answered(s, held);
+  }
+}
+
+/// For operators, once each time it changes.
+void Keeper::say_whether_answered(int s, Held& held) const {
+  auto why = own_.why_not_renewed(s, needs_.loop.now());
+  if (why.empty() == held.not_answered.empty()) return;
+  if (why.empty())
+    spdlog::info("share {}: workers are answered again", s);
+  else
+    spdlog::info("share {}: workers are not answered: {}", s, why);
+  held.not_answered = std::move(why);
 }
 
 // ---------------------------------------------------------------- what we hold
--- a/src/app/keeper.h
+++ b/src/app/keeper.h
@@ -37,6 +37,7 @@
     std::uint64_t raising = 0;  // the epoch that we are changing to, perhaps executed; 0: none
     Micros raised = 0;          // last try
     bool loading = false, handing_back = false;
+    std::string not_answered;  // why its workers aren't, as said last
   };
   Keeper(const wire::PlatformSettings& platform, const OperatorSettings& settings, Needs needs);
 
@@ -91,6 +92,7 @@
   void hand_back(int share);
   void remove_key(int share, std::uint64_t made, std::uint64_t version, bool unsure);
   void raise_epoch(int share, Held& held);
+  void say_whether_answered(int share, Held& held) const;
   void make_holder(int share, const share::HolderKey& key);
   void load_done(int share, std::uint64_t made);
   const Records& records() const { return needs_.records; }
--- a/src/app/peer_desk.cpp
+++ b/src/app/peer_desk.cpp
@@ -185,7 +185,7 @@
 
 void PeerDesk::heard(const share::PlainCancelTell& w) {
   // Of no known revision: the record that says it is still to come.
-  if (needs_.records.job(w.job)) needs_.records.cancelled_elsewhere(w.job, 0);
+  needs_.records.cancelled_elsewhere(w.job, 0);
   needs_.records.follow_graph();
   needs_.poke();
 }
--- a/src/app/records.cpp
+++ b/src/app/records.cpp
@@ -13,7 +13,6 @@
 namespace {
 constexpr int kReads = 3;  // formats: 3 has rows of units, specs in parts, types in rows
 constexpr std::size_t kForgetAtOnce = 4;
-constexpr std::size_t kMostEarly = 4096;
 constexpr Micros kGatherAsking = 15 * kMillisecond;
 }  // namespace
 
@@ -92,18 +91,12 @@
 void Records::job_read(const std::string& id, job::JobRecord record) {
   if (const auto* known = job(id); known && known->version >= record.version) return;
   set_job(id, std::move(record));
-  if (const auto early = cancelled_early_.extract(id)) cancelled_elsewhere(id, early.mapped());
 }
 
 void Records::cancelled_elsewhere(const std::string& id, std::uint64_t revision) {
   const auto* known = job(id);
-  if (!known) {
-    // Nothing of it runs here. If so many were never read, the watch brings them with their cancellation.
-    if (cancelled_early_.size() >= kMostEarly) cancelled_early_.clear();
-    cancelled_early_[id] = revision;
-    return;
-  }
-  if (known->final()) return;
+  // What isn't known doesn't run here, and the watch brings its cancellation with it.
+  if (!known || known->final()) return;
   job::JobRecord record = *known;
   record.status = JobStatus::cancelled;
   record.version = std::max(record.version, revision);
--- a/src/app/records.h
+++ b/src/app/records.h
@@ -58,7 +58,7 @@
   void set_job(const std::string& id, job::JobRecord record);
   /// A job's record that was read by itself; older than what is known, it is left out.
   void job_read(const std::string& id, job::JobRecord record);
-  /// A peer's word that a record of this revision says it: known ahead of the watch, or of the record itself.
+  /// A peer's word that a record of this revision says it: known ahead of the watch.
   void cancelled_elsewhere(const std::string& id, std::uint64_t revision);
   /// A machine that we recorded; the watch may have been faster.
   void add_machine(const share::MachineRecord& machine);
@@ -104,7 +104,6 @@
   std::vector<std::function<void(bool)>> want_fresh_;
   std::uint64_t fresh_to_ = 0;  // revision up to which jobs were read afresh
   Micros fresh_as_of_ = 0;      // when that read was sent
-  std::unordered_map<std::string, std::uint64_t> cancelled_early_;  // by job, whose record hasn't come yet
   bool freshening_ = false, announcing_ = false;
 };
 
--- a/src/share/ownership.cpp
+++ b/src/share/ownership.cpp
@@ -92,17 +92,36 @@
   return all_confirm || now < valid_until_ + unconfirmed_bound();
 }
 
-bool Ownership::may_renew_workers(int share, Micros now) const {
-  if (!lease_) return false;
-  if (now < valid_until_) return true;
+/// What keeps a peer that lacks the state service too from confirming a holder; null: nothing. Once it was
+/// cut off from the service alone, a holder must not take a common outage for its right to go on: others may
+/// have confirmed cancellations before it, or taken the share and lost their leases since.
+const char* Ownership::objection(int share, const PeerState& peer) const {
   const HolderKey* key = holder(share);
   const auto s = static_cast<std::size_t>(share);
-  // Once it was cut off from the state service alone, a holder must not take a common outage for its right to
-  // go on: others may have confirmed cancellations before it, or taken the share and lost their leases since.
-  return beyond_lease(now, [&](const PeerState& peer) {
-    return ours(key) && peer.knows_all && peer.since <= std::min(served_, read_) && s < peer.epochs.size() &&
-           peer.epochs[s] <= key->epoch;
-  });
+  if (!ours(key)) return "isn't asked, the key is not ours";
+  if (s >= peer.epochs.size()) return "is of a version that doesn't say what it knows";
+  if (peer.epochs[s] > key->epoch) return "knows of a later holder";
+  if (!peer.knows_all) return "may have told users of cancellations that we don't know";
+  if (peer.since > std::min(served_, read_)) return "began after we were last served";
+  return nullptr;
+}
+
+bool Ownership::may_renew_workers(int share, Micros now) const {
+  if (!lease_) return false;
+  return now < valid_until_ ||
+         beyond_lease(now, [&](const PeerState& peer) { return objection(share, peer) == nullptr; });
+}
+
+std::string Ownership::why_not_renewed(int share, Micros now) const {
+  if (may_renew_workers(share, now)) return {};
+  if (!lease_) return "our lease has ended";
+  for (const auto& s : platform_.siblings) {
+    const auto it = peers_.find(s.name);
+    if (it == peers_.end() || now - it->second.at >= kPeerFresh) return s.name + " isn't heard";
+    if (it->second.state_ok) return s.name + " has the state service";
+    if (const char* why = objection(share, it->second)) return s.name + " " + why;
+  }
+  return "unknown";
 }
 
 bool Ownership::keys_current(Micros now) const {
--- a/src/share/ownership.h
+++ b/src/share/ownership.h
@@ -69,6 +69,8 @@
   /// of no holder after us and of no cancellation that we don't know. Unconfirmed, for no longer than
   /// unconfirmed_bound().
   bool may_renew_workers(int share, Micros now) const;
+  /// Why not, for operators; empty: they may.
+  std::string why_not_renewed(int share, Micros now) const;
   Micros unconfirmed_bound() const;
   /// Our view of the keys can't be old: our lease is valid, or nobody else seems to have the state service.
   bool keys_current(Micros now) const;
@@ -97,6 +99,7 @@
 
  private:
   bool beyond_lease(Micros now, const std::function<bool(const PeerState&)>& confirms) const;
+  const char* objection(int share, const PeerState& peer) const;
 
   const wire::PlatformSettings& platform_;
   std::string me_;
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -66,6 +66,16 @@
   expect_gone();
 }
 
+// The same, and that third node has just read the record; no watch has told anybody of it yet.
+TEST_F(CancellationTest, ReachesALeaderRefusedAloneWhenOnlyOneReadHasToldOfIt) {
+  w.state_refuses = {"a"};
+  w.unanswered = w.watch_stalls = {"b"};
+  w.watch_stalls.insert("c");
+  cancel("j-1", {"b", "c"});
+  outage();
+  expect_gone();
+}
+
 // Whoever confirmed it ends, and nobody else knows: the leader hears all peers say that they lack the state
 // service too, and one of them is a process that can't know what was confirmed before it.
 TEST_F(CancellationTest, IsNotOutlivedByTheWordOfAProcessThatBeganAfterIt) {
--- a/tests/small_world.cpp
+++ b/tests/small_world.cpp
@@ -182,7 +182,7 @@
           [answer, lost](int status, const std::string& text) {
             if (!lost) answer(status, text);
           },
-          refused);
+          [refused, this] { return refused() || world_.watch_stalls.contains(node_); });
     } else if (to.port == 5) {
       world_.cloud(method, path, body, answer);
     } else {
--- a/tests/small_world.h
+++ b/tests/small_world.h
@@ -149,6 +149,7 @@
   double push_lost = 1, push_late = 0;  // parts of all; late: up to two minutes
   double answer_lost = 0;               // of the state service's, which has executed the request
   double report_lost = 0;               // of reports, half of them answered in vain
+  std::set<std::string> watch_stalls;   // nodes whose open watches are told nothing
   std::set<std::string> unanswered;     // nodes whose commits are executed without an answer
   bool& state_down = store.down;
   std::set<std::string> state_refuses;  // nodes
