--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -62,6 +62,70 @@
   EXPECT_EQ(w.store.held_keys_removed, 0);
 }
 
+// Whatever is carried out a second time, later, changes nothing: shares taken, handed back and held on under
+// higher epochs, machines that came, moved and went, results, ends, cancellations. Left alone: rows that
+// nothing reads any more, made anew (results of a job that is over, a machine that the cloud has deleted),
+// and deletions of what is gone already.
+TEST_F(MeetingTest, ATransactionCarriedOutAgainLaterChangesNothing) {
+  app::OperatorSettings settings;
+  settings.attempts_per_epoch = 30;
+  SmallWorld w(settings);
+  w.run_time = 20 * kSecond;
+  w.run_spread = 20 * kSecond;
+  w.engine.run_for(20 * kSecond);
+  auto again = [&] {
+    for (const auto& body : std::vector(w.commits)) {
+      const Json asked = Json::parse(body);
+      const auto before = w.store.keys;
+      int status = 0;
+      w.store.request(Method::post, "/commit", body, [&](int code, const std::string&) { status = code; });
+      if (status != 200) continue;
+      for (const auto& change : asked.at("writes")) {
+        const auto key = change.at(change.contains("delete") ? "delete" : "set").get<std::string>();
+        if (change.contains("delete")) {
+          EXPECT_FALSE(before.contains(key)) << body;
+          continue;
+        }
+        EXPECT_FALSE(before.contains(key)) << body;
+        if (key.starts_with("p/")) {
+          const auto job = key.substr(key.find('/', 2) + 1);
+          EXPECT_NE(before.at("s/job/" + job.substr(0, job.find('/'))).value.at("st"), "queued") << body;
+        } else {
+          ASSERT_TRUE(key.starts_with("s/machine/")) << body;
+          const auto there = w.machines();
+          EXPECT_EQ(std::count(there.begin(), there.end(), key.substr(10)), 0) << body;
+        }
+      }
+    }
+  };
+  int jobs = 0;
+  for (const char* owner : {"cards", "red", "cards", "tight"}) {
+    for (int i = 0; i < 3; ++i) {
+      auto j = job("j-" + std::to_string(++jobs), 12);
+      j["owner"] = owner;
+      EXPECT_EQ(w.ask("c", Method::post, "/v1/jobs", j).status, 201);
+    }
+    w.engine.run_for(25 * kSecond);
+    EXPECT_EQ(w.ask("c", Method::post, "/v1/jobs/j-" + std::to_string(jobs) + "/withdraw").status, 200);
+    w.engine.run_for(2 * kSecond);
+    again();
+    const std::string node = jobs % 2 == 0 ? "a" : "b";
+    w.crash(node);
+    w.engine.run_for(12 * kSecond);
+    w.start(node);
+    w.engine.run_for(15 * kSecond);
+    again();
+  }
+  EXPECT_GT(w.commits.size(), 100U);
+  for (int i = 1; i <= jobs; ++i) {
+    const std::string id = "j-" + std::to_string(i);
+    for (int s = 0; s < 200 && w.ask("b", Method::get, "/v1/jobs/" + id).body.value("status", "") == "queued";
+         ++s)
+      w.engine.run_for(kSecond);
+  }
+  EXPECT_EQ(w.ran_twice, 0) << w.first_twice;
+}
+
 // A leader cut off from the state service and the other controllers, not from its workers and users: jobs are
 // cancelled through the one that takes over.
 TEST_F(MeetingTest, ALeaderCutOffWithItsWorkersEndsWhatIsCancelledElsewhere) {
--- a/tests/small_world.cpp
+++ b/tests/small_world.cpp
@@ -153,6 +153,7 @@
     if (to.port == 6) {
       auto refused = [&w = world_, n = node_] { return w.state_down || w.state_refuses.contains(n); };
       if (refused()) return answer(503, "{}");
+      if (path == "/commit") world_.commits.push_back(body);
       if (path == "/commit" && world_.commit_lost(body)) return;
       if (world_.state_slow > 0) {
         const Micros half = world_.state_slow / 2;
--- a/tests/small_world.h
+++ b/tests/small_world.h
@@ -158,7 +158,8 @@
   std::pair<Micros, Micros> commit_late_by{0, 120 * kSecond};
   /// Commits that never arrive, by their text.
   std::function<bool(const std::string& body)> commit_lost = [](const std::string&) { return false; };
-  Micros state_slow = 0;  // its answers take up to so long, and at least half of it
+  std::vector<std::string> commits;  // the texts of all that were sent
+  Micros state_slow = 0;             // its answers take up to so long, and at least half of it
   // Copies of what was sent or carried out, later: of reports to any node, within three worker leases; of
   // pushes and of changes in the state service within two minutes, their answers lost.
   double report_copied = 0, push_copied = 0, commit_copied = 0;
