--- a/src/app/recorder.cpp
+++ b/src/app/recorder.cpp
@@ -207,9 +207,10 @@
   }
   if (held->key_version != key_version) return stay(id, from);
   const auto urgency = m.share >= 0 ? store::Urgency::user : store::Urgency::background;
+  std::vector<wire::Guard> guards{{kMachine + id, m.version}, {holder_key(from), key_version}};
   std::vector<wire::Write> writes{{kMachine + id, share::machine_to_json(m), {}, false}};
   needs_.store.commit(
-      {{kMachine + id, m.version}, {holder_key(from), key_version}}, std::move(writes), urgency,
+      std::move(guards), std::move(writes), urgency,
       [this, m = std::move(m), from, made, key_version, unsure](int code, std::uint64_t) mutable {
         const bool not_known = code == 0 || code == 409 || unsure;
         needs_.loop.later(code != 200 && not_known ? kMoveUnknown : kMoveAgain,
