--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -324,9 +324,15 @@
       j->again.erase(t.index);
       if (ours) task_done(*j, m, p->second, now);
     }
+    // The result is forgotten only once it is recorded, or a crash here would lose it.
+    if (surely_recorded(*j, t.index) || j->finished || j->cancelled)
+      m.forgets.push_back({Order::Verb::forget, t.job, t.index, t.attempt, 0});
+    // With its last task a job that is over goes from the picture, and `j` with it.
     if (ours) picture_.drop(m, p, now, false);
+    it = picture_.jobs.find(t.job);
+    if (it == picture_.jobs.end()) return;
     // An attempt of it elsewhere has nothing left to do.
-    if (auto a = j->active.find(t.index); a != j->active.end()) {
+    if (auto a = it->second->active.find(t.index); a != it->second->active.end()) {
       Machine& other = *a->second;
       auto q = other.tasks.find({t.job, t.index});
       if (q != other.tasks.end()) {
@@ -336,9 +342,6 @@
           picture_.halt(q->second, 0);
       }
     }
-    // The result is forgotten only once it is recorded, or a crash here would lose it.
-    if (surely_recorded(*j, t.index) || j->finished || j->cancelled)
-      m.forgets.push_back({Order::Verb::forget, t.job, t.index, t.attempt, 0});
     picture_.erase_if_over(t.job);
     return;
   }
