--- a/src/app/records.cpp
+++ b/src/app/records.cpp
@@ -91,12 +91,18 @@
 void Records::job_read(const std::string& id, job::JobRecord record) {
   if (const auto* known = job(id); known && known->version >= record.version) return;
   set_job(id, std::move(record));
+  if (const auto early = cancelled_early_.extract(id)) cancelled_elsewhere(id, early.mapped());
 }
 
 void Records::cancelled_elsewhere(const std::string& id, std::uint64_t revision) {
   const auto* known = job(id);
-  // What isn't known doesn't run here, and the watch brings its cancellation with it.
-  if (!known || known->final()) return;
+  if (!known) {
+    // The watch may bring the record alone, and an outage keep its cancellation from us: we said that we had
+    // it.
+    cancelled_early_[id] = revision;
+    return;
+  }
+  if (known->final()) return;
   job::JobRecord record = *known;
   record.status = JobStatus::cancelled;
   record.version = std::max(record.version, revision);
--- a/src/app/records.h
+++ b/src/app/records.h
@@ -103,7 +103,8 @@
   std::map<std::size_t, std::vector<wire::MachineType>> type_parts_;
   std::vector<std::function<void(bool)>> want_fresh_;
   std::uint64_t fresh_to_ = 0;  // revision up to which jobs were read afresh
-  Micros fresh_as_of_ = 0;      // when that read was sent
+  std::unordered_map<std::string, std::uint64_t> cancelled_early_;  // by job, whose record hasn't come yet
+  Micros fresh_as_of_ = 0;                                          // when that read was sent
   bool freshening_ = false, announcing_ = false;
 };
 
