An old report's copy no longer shortens the wait for a silent machine's lease

Cause: Holder::on_report set the moment from which a machine has surely lapsed anew, also for a copy of an old report. Right after a takeover that moment lay before the one up to which the former holder, cut off, may have answered the worker: its tasks ran twice. The users' meeting: an old report reaches every controller just as a new leader begins.

--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -191,7 +191,9 @@
   const int enough = m.pushes_lost >= kGivenUp ? 1 : kMostInVain;
   if (!m.accounted && m.hearing.in_vain() >= enough) return {};
   m.hearing.answered();
-  m.lapse_at = surely_lapsed(now);
+  // Never sooner than before: a copy of an old report may come in the seconds in which the former holder, cut
+  // off, still answers the worker itself.
+  m.lapse_at = std::max(m.lapse_at, surely_lapsed(now));
   auto orders = take_orders(m, false, r.seq, may_start, now);
   return Answer{token(m), std::move(orders)};  // the orders may take a higher token
 }
