Where one task of a gang is done, all are: the rest is never started without it

Cause: when one machine told a gang's end and another was gone before it could, the rest was started again, waited for the done task, and ended as incomplete for ever. PROTOCOL: if one task is done, all are.

--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -168,8 +168,12 @@
   Micros began = 0;              // a gang's first attempt
   Micros to_spot_until = 0;      // a gang that was stopped to go on on spot machines
   Micros moved = 0;
+  Micros waits_since = 0;    // for a start of any task, while its team and its own errors let it start
+  bool passed_over = false;  // for so long that any room will do
   std::uint32_t waiting() const {
-    return spec->tasks - done.count() - static_cast<std::uint32_t>(active.size());
+    // Done tasks of a gang may be there still.
+    const std::size_t there = done.count() + active.size();
+    return there >= spec->tasks ? 0 : spec->tasks - static_cast<std::uint32_t>(there);
   }
   int tasks_in(int zone) const {
     return static_cast<std::size_t>(zone) < in_zone.size() ? in_zone[static_cast<std::size_t>(zone)] : 0;
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -321,11 +321,13 @@
   Job* j = it == picture_.jobs.end() ? nullptr : it->second.get();
   const bool ours = p != m.tasks.end() && p->second.attempt == t.attempt;
   if (t.cause == Cause::done && j && t.index < j->spec->tasks) {
-    if (j->done.set(t.index)) {
+    const bool news = j->done.set(t.index);
+    if (news) {
       j->dirty.insert(t.index / DoneSet::kUnit);
       j->again.erase(t.index);
-      if (ours) task_done(*j, m, p->second, now);
+      gang_done(*j);
     }
+    if (ours && (news || j->spec->shape == Shape::gang)) task_done(*j, m, p->second, now);
     // The result is forgotten only once it is recorded, or a crash here would lose it.
     if (surely_recorded(*j, t.index) || j->finished || j->cancelled)
       m.forgets.push_back({Order::Verb::forget, t.job, t.index, t.attempt, 0});
@@ -361,6 +363,15 @@
   m.forgets.push_back({Order::Verb::forget, t.job, t.index, t.attempt, 0});
 }
 
+/// A gang completes together: where one task is done, all are. The others' machines may be gone before they
+/// tell it; started without the done one, the rest would wait for it, again and again, and the job never end.
+void Holder::gang_done(Job& j) {
+  if (j.spec->shape != Shape::gang || j.done.count() == 0) return;
+  for (std::uint32_t i = 0; i < j.spec->tasks; ++i)
+    if (j.done.set(i)) j.dirty.insert(i / DoneSet::kUnit);
+  j.again.clear();
+}
+
 void Holder::task_done(Job& j, Machine& m, const Placed& p, Micros now) {
   m.error_jobs.clear();
   if (p.run_since == 0 || j.spec->shape == Shape::service) return;
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -178,6 +178,7 @@
                                  Micros now);
   void check_rebuilt(Micros now);
   void say_silent(Micros now);
+  static void gang_done(Job& j);
   static void merge_row(Job& j, std::uint32_t row, const std::string& text);
   bool surely_recorded(const Job& j, std::uint32_t index) const;
 
--- a/src/share/holder_records.cpp
+++ b/src/share/holder_records.cpp
@@ -26,6 +26,7 @@
   row >= kUnitRows ? j.done.merge_unit(row - kUnitRows, text) : j.done.merge_chunk(row, text);
   merge_row(j, row, text);
   j.row_versions[row] = version;
+  gang_done(j);
 }
 
 std::vector<Holder::DoneWrite> Holder::done_writes(std::size_t most) {
