A job that was passed over for 20 s may use any room, in other shares too

Cause: nothing but GPU machines had room, or machines of another share beside what ran there, and a job waited beside room that fits for as long as that lasted (the users' new rule: 90 s), some for ever: a gang of CPU work beside idle GPU machines. Change: placement keeps nothing from a job of which nothing started for 20 s; the leader hears of it (a bit that versions before leave unread), lets the least used machine of another share run empty for it, and rents one where that may take long. GPUs in use are not idled for CPU work.

--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -22,7 +22,8 @@
 constexpr Micros kRunEmpty = 40 * kSecond;  // as long as the holder keeps it from taking more
 constexpr double kRicher = 4;               // so many times the work in hand of another share
 constexpr std::int64_t kFewTasks = 2;
-constexpr std::size_t kLevelPart = 100;  // of all machines, at once
+constexpr std::size_t kLevelPart = 100;    // of all machines, at once
+constexpr Micros kDrainOn = 10 * kSecond;  // before a drain is over
 
 std::string offer(const std::string& type, const std::string& zone, bool spot) {
   return type + " " + zone + (spot ? " spot" : "");
@@ -128,6 +129,7 @@
   if (w.demand.plain_only && types_[r.type].total.gpus > 0) return false;  // as its holder does
   // As the holder does: only work that can make way shares a machine with GPU work.
   return w.demand.need.gpus > 0 || r.type >= gpu_wanted_.size() || !gpu_wanted_[r.type] ||
+         w.demand.passed_over ||
          (w.demand.rank == wire::Rank::low && w.demand.shape == wire::Shape::array && !r.booting);
 }
 
@@ -171,7 +173,7 @@
   gpu_wanted_.resize(types_.size());
   for (const auto& s : shares)
     for (const auto& d : s.demands) {
-      plan.wants.push_back({s.share, d, d.waiting, 0, {}});
+      plan.wants.push_back({s.share, d, d.waiting, 0, false, {}});
       if (can_wait(d)) plan.low_running[s.share] += d.running;
       for (std::size_t t = 0; t < types_.size() && t < 64; ++t)
         if (d.need.gpus > 0 && (d.types >> t & 1)) gpu_wanted_[t] = true;
@@ -198,6 +200,7 @@
       // What runs there makes way for GPU work: its room is the GPUs' part of the machine.
       if (gpu_wanted_[r.type] && r.top_rank == wire::Rank::low && !r.empty && r.free.gpus == total.gpus)
         r.free = total;
+      r.home = s.share, r.unused = m.free;
       if (given != draining_.end())  // on its way to another share
         r.share = given->second.first, r.free = total, r.touched = true;
       plan.rooms.push_back(std::move(r));
@@ -292,6 +295,73 @@
   }
 }
 
+// ---------------------------------------------------------------- room in other shares
+
+/// Its share leaves room there that it has no use for, though it doesn't run empty by itself. GPUs that are
+/// in use would stand idle for a few CPUs beside them.
+bool Renter::roomy(const Room& r, const Want& w) const {
+  if (w.demand.need.gpus == 0 && r.free.gpus < types_[r.type].total.gpus && !only_beside_gpu_work(w))
+    return false;
+  return w.demand.passed_over && !r.booting && !r.empty && r.share != w.share && !draining_.contains(r.id) &&
+         usable(w, r) && w.demand.need.fits_in(r.free) && w.demand.need.fits_in(r.unused);
+}
+
+/// Lower ranks make way at once; the same or higher ones may end, and nothing more is placed there.
+void Renter::drain_roomy(Plan& plan, Room& r, const Want& w) {
+  const bool lower = r.top_rank < w.demand.rank;
+  draining_[r.id] = {w.share, plan.now + (lower ? kDrainTime : kRunEmpty)};
+  plan.actions.emplace_back(Move{r.id, r.share, w.share, true, lower ? w.demand.rank : wire::Rank::low});
+  r.share = w.share;
+  r.free = types_[r.type].total;
+  r.touched = true;
+}
+
+/// A job that was passed over for long while another share has room beside what runs on its machines: the one
+/// with the least on it makes way. Else it would wait as long as that share has anything to do.
+void Renter::take_roomy(Plan& plan, Want& w) {
+  if (!w.demand.passed_over) return;
+  while (w.left > 0) {
+    Room* best = nullptr;
+    const auto key = [&](const Room& r) {
+      return std::pair{r.top_rank, types_[r.type].total.cpus - r.free.cpus};
+    };
+    for (auto& r : plan.rooms)
+      if (roomy(r, w) && (!best || key(r) < key(*best))) best = &r;
+    if (!best) return;
+    w.beside_room = true;
+    const auto left = w.left;
+    drain_roomy(plan, *best, w);
+    if (fill(w, *best) == 0) return;
+    // What runs there may take long: one new machine, if the cloud has one, may be there sooner.
+    if (w.left == 0) w.left = std::min(left, 1U);
+    if (w.left <= 1) return;
+  }
+}
+
+/// What runs there may take longer than a drain lasts. Production mostly stays for good: it is tried once in
+/// a while.
+void Renter::keep_draining(Plan& plan, const Want& w) {
+  if (!w.demand.passed_over) return;
+  for (auto& [id, d] : draining_) {
+    if (d.first != w.share || d.second - plan.now > kDrainOn) continue;
+    const auto r =
+        std::find_if(plan.rooms.begin(), plan.rooms.end(), [&](const Room& o) { return o.id == id; });
+    if (r == plan.rooms.end() || r->top_rank == wire::Rank::production || r->home < 0 || r->home == w.share ||
+        !suits(w, r->type, r->zone, r->spot))
+      continue;
+    d.second = plan.now + kRunEmpty;
+    plan.actions.emplace_back(Move{id, r->home, w.share, true, wire::Rank::low});
+  }
+}
+
+/// No other machine could ever hold it.
+bool Renter::only_beside_gpu_work(const Want& w) const {
+  for (std::size_t t = 0; t < types_.size(); ++t)
+    if (!gpu_wanted_[t] && rooms_in(w.demand, types_[t].total) > 0 && (t >= 64 || w.demand.types >> t & 1))
+      return false;
+  return true;
+}
+
 // ---------------------------------------------------------------- renting
 
 /// Offers that may be asked now, the cheapest per task first.
@@ -299,7 +369,9 @@
   std::vector<Offer> all;
   for (std::size_t t = 0; t < types_.size(); ++t) {
     const auto fits = rooms_in(w.demand, types_[t].total);
-    if (fits == 0 || (w.demand.need.gpus == 0 && types_[t].total.gpus > 0 && gpu_wanted_[t])) continue;
+    if (fits == 0) continue;
+    if (w.demand.need.gpus == 0 && types_[t].total.gpus > 0 && gpu_wanted_[t] && !only_beside_gpu_work(w))
+      continue;
     auto sp = spot_price_.find(types_[t].name);
     const double spot_price = sp == spot_price_.end() ? types_[t].spot_price : sp->second;
     for (const auto& zone : types_[t].zones)
@@ -335,7 +407,8 @@
   const double slack = w.demand.slack_ms / 1e3;
   const double drain = dear ? std::max(15.0, slack * settings_.slack_part)
                             : std::clamp(slack * 0.5, 15.0, to_seconds(settings_.patience));
-  const double slots = std::ceil(b->second.work / drain) - b->second.slots;
+  double slots = std::ceil(b->second.work / drain) - b->second.slots;
+  if (w.beside_room) slots = std::max(slots, 1.0);
   return static_cast<std::uint32_t>(std::clamp(slots, 0.0, static_cast<double>(w.left)));
 }
 
@@ -402,7 +475,9 @@
   if (!w.demand.one_zone) choices.push_back({});
   for (std::size_t z = 0; w.demand.one_zone && z < platform_.zones.size(); ++z)
     choices.push_back({platform_.zones[z]});
-  for (auto& c : choices)
+  for (auto& c : choices) {
+    // What runs there may take long: only where the cloud has no more machines.
+    const bool roomy_too = w.demand.passed_over && offers(w, plan.now, c.zone).empty();
     for (const auto& r : plan.rooms) {
       if ((!c.zone.empty() && r.zone != c.zone) || !usable(w, r)) continue;
       const auto n = rooms_in(w.demand, r.free);
@@ -412,7 +487,10 @@
         c.own += n;
       else if (movable(r, w) || drainable_for_gpu(r, w))
         c.move += n;
+      else if (roomy_too && roomy(r, w))
+        c.move += rooms_in(w.demand, types_[r.type].total);
     }
+  }
   const std::uint32_t need = w.left;
   auto missing = [need](std::uint32_t have) { return have >= need ? 0 : need - have; };
   const Choice* best = nullptr;
@@ -436,6 +514,11 @@
     if (w.left == 0) return;
     if (!zone.empty() && r.zone != zone) continue;
     const int from = r.share;
+    if (move_now && best_offers.empty() && roomy(r, w) && !drainable_for_gpu(r, w)) {
+      drain_roomy(plan, r, w);
+      fill(w, r);
+      continue;
+    }
     const bool drain = drainable_for_gpu(r, w);
     if ((!drain && !movable(r, w)) || fill(w, r) == 0) continue;
     if (!move_now) continue;  // kept for it, and moved when the rest has come
@@ -456,13 +539,18 @@
 }
 
 void Renter::serve(Plan& plan, Want& w) {
-  if (w.demand.shape == wire::Shape::gang) return w.left > 0 ? serve_gang(plan, w) : void();
+  if (w.demand.shape == wire::Shape::gang) {
+    keep_draining(plan, w);
+    return w.left > 0 ? serve_gang(plan, w) : void();
+  }
   // For what is urgent a machine that boots comes too late: machines on which lower ranks run make way, and
   // the new ones are for those.
   const bool urgent = w.demand.rank >= wire::Rank::high && w.demand.slack_ms < kBootsIn / kMillisecond;
   if (!urgent) take_booting(plan, w);
   take_empty(plan, w);
   take_from_lower(plan, w);
+  keep_draining(plan, w);
+  take_roomy(plan, w);
   if (urgent) take_booting(plan, w);
   if (can_wait(w.demand)) {
     // What runs of work that can wait makes room soon, and the earliest takes it first, whichever job it was.
--- a/src/fleet/renter.h
+++ b/src/fleet/renter.h
@@ -100,6 +100,8 @@
     std::string zone;
     bool spot = false, empty = false, touched = false, gpu_touched = false, booting = false;
     wire::Resources free;
+    wire::Resources unused;  // beside all that runs there
+    int home = -1;           // the share that has it, also while it is drained for another
     std::uint32_t idle_ms = 0;
     wire::Rank top_rank = wire::Rank::low;
   };
@@ -107,6 +109,7 @@
     int share = 0;
     share::Demand demand;
     std::uint32_t left = 0, fitted = 0;
+    bool beside_room = false;  // passed over while other shares have room
     std::map<std::string, std::uint32_t> zones;
   };
   /// What one tick works on.
@@ -141,6 +144,11 @@
   void take_booting(Plan& plan, Want& w);
   void take_empty(Plan& plan, Want& w);
   void take_from_lower(Plan& plan, Want& w);
+  bool roomy(const Room& r, const Want& w) const;
+  void drain_roomy(Plan& plan, Room& r, const Want& w);
+  void take_roomy(Plan& plan, Want& w);
+  void keep_draining(Plan& plan, const Want& w);
+  bool only_beside_gpu_work(const Want& w) const;
   void rent_for(Plan& plan, Want& w);
   void rent(Plan& plan, const Offer& offer, int count, Want& w);
   void level(Plan& plan);
--- a/src/place/placer.h
+++ b/src/place/placer.h
@@ -62,6 +62,7 @@
   int dearness(const Job& j, const Machine& m) const;
   int warmth(const Job& j, const Machine& m) const;
   bool image_first(const Job& j) const;
+  void note_wait(Job& j, Micros now) const;
   static std::optional<std::uint32_t> next_task(Job& j);
   /// Machines on which a task of one job could start, of the cheapest and warmest tier that has any; spot
   /// ones first, then the fullest. Kept from task to task of the job, since a task changes one of them.
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -121,6 +121,7 @@
   j->ready = j->submitted;
   j->rank = record.spec->rank;
   if (record.spec->deadline) j->finish_by = j->submitted + *record.spec->deadline;
+  j->waits_since = now;
   j->fresh = fresh;
   note_gpu_job(*record.spec);
   j->done = DoneSet(record.spec->tasks);
@@ -604,8 +605,9 @@
 
 void Holder::drain(const std::string& machine, int to, Rank rank, Micros now) {
   auto it = picture_.machines.find(machine);
-  if (it == picture_.machines.end() || !loaded_ || !it->second.up || it->second.drain_until > now) return;
+  if (it == picture_.machines.end() || !loaded_ || !it->second.up) return;
   Machine& m = it->second;
+  if (m.drain_until > now && (rank != Rank::low || m.drain_to != to)) return;
   if (rank == Rank::low) {  // nothing ranks below: what runs may finish, nothing more is placed
     m.drain_to = to;
     m.drain_until = now + 2 * kDrainFor;
--- a/src/share/holder_answers.cpp
+++ b/src/share/holder_answers.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 constexpr std::size_t kMostDemands = 64;
+constexpr std::size_t kMostPassedOver = 8;  // more, of those that wait for too long
 }  // namespace
 
 std::optional<std::pair<std::uint32_t, std::uint32_t>> Holder::tally(const std::string& id) const {
@@ -33,7 +34,8 @@
 std::vector<Demand> Holder::demands(Micros now) const {
   std::vector<Demand> out;
   for (Job* j : placer_.ordered_jobs(now)) {
-    if (out.size() >= kMostDemands) break;
+    if (out.size() >= kMostDemands && !(j->passed_over && out.size() < kMostDemands + kMostPassedOver))
+      continue;
     std::int64_t waiting = j->waiting();
     const wire::Team* t = placer_.quota().team(j->spec->team);
     auto use = picture_.team_use.find(j->spec->team);
@@ -72,13 +74,14 @@
     d.guess_ms = static_cast<std::uint32_t>(std::clamp(place::Placer::run_time(*j) * 1000, 0.0, 3.6e6));
     d.one_zone = j->spec->one_zone;
     d.plain_only = placer_.await_plain(*j, now);
+    d.passed_over = j->passed_over;
     // Jobs that are alike are told as one: with ninety services waiting the rest would not be heard of.
     if (d.shape == wire::Shape::service) {
       auto same = std::find_if(out.begin(), out.end(), [&](const Demand& o) {
         return o.shape == d.shape && o.need == d.need && o.types == d.types && o.zone == d.zone &&
                o.rank == d.rank && o.spot == d.spot && o.one_zone == d.one_zone &&
-               o.plain_only == d.plain_only && o.closed_zones == d.closed_zones &&
-               (o.per_zone > 0) == (d.per_zone > 0) && !d.one_zone;
+               o.plain_only == d.plain_only && o.passed_over == d.passed_over &&
+               o.closed_zones == d.closed_zones && (o.per_zone > 0) == (d.per_zone > 0) && !d.one_zone;
       });
       if (same != out.end()) {
         same->waiting += d.waiting, same->running += d.running, same->per_zone += d.per_zone;
--- a/tests/renter_test.cpp
+++ b/tests/renter_test.cpp
@@ -235,6 +235,54 @@
   EXPECT_EQ(only<Move>(renter_.tick(now_, {{0, true, {}, {spot, plain}}}, records_)).size(), 1U);
 }
 
+// Its own share has nothing left, the cloud neither: another share's machine with room, which never ran
+// empty, takes no more and comes to it. Not before it was passed over for long, and not where GPUs are in
+// use.
+TEST_F(RenterTest, AJobThatWasPassedOverGetsRoomThatAnotherShareLeavesUnused) {
+  share::Demand d = demand(2, 1, false, wire::Rank::low);
+  auto busy = machine("i-000001", 0, 0), busier = machine("i-000002", 0, 0), gpu = machine("i-000003", 0, 0);
+  records_["i-000003"].type = "gpu4";
+  for (auto* m : {&busy, &busier, &gpu}) m->empty = false;
+  busy.free.cpus = wire::to_units(6), busier.free.cpus = wire::to_units(3);
+  gpu.free = types_[1].total, gpu.free.gpus = wire::to_units(1), gpu.top_rank = wire::Rank::normal;
+  share::Demand training = demand(1, 1, true, wire::Rank::normal);
+  training.need.gpus = wire::to_units(4), training.types = 2, training.shape = wire::Shape::gang;
+  const std::vector<share::MachineState> others{busy, busier, gpu};
+  for (const auto& t : types_)
+    for (const auto& z : t.zones)
+      for (const bool spot : {false, true})
+        renter_.rented({t.name == "cpu8" ? 0U : 1U, z, spot, 1, 0}, 503, {}, now_);
+  auto moves = [&](Micros now) {
+    return only<Move>(renter_.tick(now, {{0, true, {training}, others}, {1, true, {d}, {}}}, records_));
+  };
+  EXPECT_TRUE(moves(now_).empty());
+  d.passed_over = true;
+  const auto given = moves(now_ + kSecond);
+  ASSERT_EQ(given.size(), 1U);
+  EXPECT_EQ(given[0].machine, "i-000001");
+  EXPECT_TRUE(given[0].drain);
+  EXPECT_EQ(given[0].to, 1);
+  EXPECT_EQ(given[0].rank, wire::Rank::low);  // what runs there may end
+  // It takes longer than a drain lasts.
+  EXPECT_TRUE(moves(now_ + 2 * kSecond).empty());
+  const auto on = moves(now_ + 35 * kSecond);
+  ASSERT_EQ(on.size(), 1U);
+  EXPECT_EQ(on[0].machine, "i-000001");
+}
+
+// Machines that GPU work wants are not rented for other work, but where no other could hold it.
+TEST_F(RenterTest, WorkThatOnlyGpuMachinesHoldGetsOneWhileGpuWorkWaits) {
+  share::Demand training = demand(1, 1, true, wire::Rank::normal);
+  training.need.gpus = wire::to_units(4), training.types = 2, training.shape = wire::Shape::gang;
+  share::Demand large = demand(12, 1, true, wire::Rank::normal);
+  large.shape = wire::Shape::gang, large.types = 2;
+  renter_.tick(now_, {{0, true, {training}, {}}}, records_);  // learns that the type is wanted
+  int rented = 0;
+  for (const auto& r : only<Rent>(renter_.tick(now_ + kSecond, {{1, true, {large}, {}}}, records_)))
+    rented += r.count;
+  EXPECT_EQ(rented, 1);
+}
+
 TEST(RequestNames, GoOnAfterAPauseAndNeverRepeat) {
   // fresh-ff24: after a state outage the leader led again with its old epoch and counted from 1. The cloud
   // answered with machines that were long up, which were then deleted as stragglers.
