--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -129,7 +129,7 @@
   if (w.demand.plain_only && types_[r.type].total.gpus > 0) return false;  // as its holder does
   // As the holder does: only work that can make way shares a machine with GPU work.
   return w.demand.need.gpus > 0 || r.type >= gpu_wanted_.size() || !gpu_wanted_[r.type] ||
-         w.demand.passed_over ||
+         w.demand.any_room ||
          (w.demand.rank == wire::Rank::low && w.demand.shape == wire::Shape::array && !r.booting);
 }
 
--- a/src/place/picture.cpp
+++ b/src/place/picture.cpp
@@ -43,7 +43,6 @@
   if (!p.team.empty()) team_use[p.team] += p.need;
   if (Job* j = p.job) {
     j->active[p.index] = &m;
-    j->waits_since = std::max(j->waits_since, p.started);
     j->again.erase(p.index);
     if (j->in_zone.size() <= static_cast<std::size_t>(m.zone))
       j->in_zone.resize(static_cast<std::size_t>(m.zone) + 1);
@@ -78,7 +77,8 @@
   }
   if (!again || j->done.test(p.index)) return;
   j->again.insert(p.index);
-  if (j->waiting() == 1) j->waits_since = now;
+  // What was never seen to start, its order lost, has been waiting all along.
+  if (j->waiting() == 1 && p.phase >= Phase::present) j->waits_since = now;
   // A gang runs whole or not at all: the rest must be gone before the next attempt.
   if (j->spec->shape == Shape::gang && !j->active.empty() && p.attempt == j->gang_attempt) end_attempt(*j);
 }
--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -169,7 +169,8 @@
   Micros to_spot_until = 0;      // a gang that was stopped to go on on spot machines
   Micros moved = 0;
   Micros waits_since = 0;    // for a start of any task, while its team and its own errors let it start
-  bool passed_over = false;  // for so long that any room will do
+  bool passed_over = false;  // for so long that the leader is to look for room in other shares
+  bool any_room = false;     // for so long that any room will do, beside GPU work too
   std::uint32_t waiting() const {
     // Done tasks of a gang may be there still.
     const std::size_t there = done.count() + active.size();
--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -17,10 +17,11 @@
 constexpr Micros kPressed = 40 * kSecond;
 constexpr Micros kMoveAgain = 90 * kSecond;
 constexpr Micros kMoveTime = 15 * kSecond;
-// Nothing of a job started for so long: what is better kept for others is kept no longer, and the leader
-// looks for room in other shares, whose machines take a while to run empty. Well inside the 90 s that no job
-// may wait beside room.
+// Nothing of a job started for so long: the leader looks for room in other shares, whose machines take a
+// while to run empty; later, what is better kept for GPU work is kept no longer. Well inside the 90 s that no
+// job may wait beside room.
 constexpr Micros kPassedOver = 20 * kSecond;
+constexpr Micros kAnyRoom = 50 * kSecond;
 constexpr int kWarm = 2;             // see warmth()
 constexpr double kLongFetch = 10;    // seconds: more than lower work loses by making way
 constexpr double kFetchPart = 0.25;  // of the time in which a task should start
@@ -149,7 +150,8 @@
 void Placer::note_wait(Job& j, Micros now) const {
   const std::uint32_t tasks = j.spec->shape == Shape::gang ? j.spec->tasks : 1;
   if (now < j.not_before || !place_allowed(j) || !quota_.within_limit(j, tasks)) j.waits_since = now;
-  j.passed_over = now - std::max(j.ready, j.waits_since) >= kPassedOver;
+  const Micros waits = now - std::max(j.ready, j.waits_since);
+  j.passed_over = waits >= kPassedOver, j.any_room = waits >= kAnyRoom;
 }
 
 void Placer::look_for_unseen() {
@@ -204,7 +206,7 @@
   // Machines for GPU work take other work only if it can make way at once: what stays, or outranks GPU work,
   // would keep a dear machine rented for a few CPUs.
   // Passed over for long, it may: where these were the only machines with room it never ran.
-  if (j.spec->need.gpus == 0 && gpu_wanted_[m.type_index] && !j.passed_over &&
+  if (j.spec->need.gpus == 0 && gpu_wanted_[m.type_index] && !j.any_room &&
       (j.rank > Rank::low || j.spec->shape != Shape::array))
     return false;
   return j.spec->need.fits_in(free);
@@ -317,12 +319,12 @@
     // In vain for all jobs alike, until there is more room. Zones and machines that one job avoids are its
     // own.
     const bool alike = !j.spec->spread && !j.spec->one_zone && j.bad_machines.empty() && fit.zone < 0 &&
-                       fit.least_warmth == 0 && !j.passed_over;
+                       fit.least_warmth == 0 && !j.any_room;
     auto& room = j.kind->second.room[static_cast<std::size_t>(j.rank)];
     auto& cheap = j.kind->second.cheap_room[static_cast<std::size_t>(j.rank)];
     const auto gains = picture_.gains_for(j.kind->first);
     const bool in_vain = room.holds(gains, j.spec->need) || (cheap_only && cheap.holds(gains, j.spec->need));
-    if (in_vain && !j.passed_over) return false;
+    if (in_vain && !j.any_room) return false;
     find_fit(j, fit, now);
     const bool none = fit.machines.empty();
     if (alike && none) room.note(gains, j.spec->need);
@@ -386,12 +388,12 @@
   // In vain for gangs alike that are as large. One that goes to spot machines looks for less than they do.
   auto& tried = j.kind->second.gang_room[static_cast<std::size_t>(j.rank)];
   const auto gains = picture_.gains_for(j.kind->first);
-  if (!j.passed_over && tried.holds(gains, j.spec->need, j.spec->tasks)) return false;
+  if (!j.any_room && tried.holds(gains, j.spec->need, j.spec->tasks)) return false;
   const auto zones = gang_zones(j, now, [&](const Machine& m) {
     return least_warmth == 0 || warmth(j, m) >= least_warmth ? m.free : Resources{};
   });
   if (zones.empty()) {
-    if (j.bad_machines.empty() && j.to_spot_until <= now && least_warmth == 0 && !j.passed_over)
+    if (j.bad_machines.empty() && j.to_spot_until <= now && least_warmth == 0 && !j.any_room)
       tried.note(gains, j.spec->need, j.spec->tasks);
     return false;
   }
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -250,6 +250,7 @@
     }
     if (t.state != TaskState::fetching && p->second.phase != Phase::running && p->second.job)
       m.used_image(*p->second.job->spec);
+    if (p->second.phase < Phase::present && p->second.job) p->second.job->waits_since = now;
     p->second.phase = t.state == TaskState::running ? Phase::running : Phase::present;
     p->second.fetching = t.state == TaskState::fetching;
     if (Job* j = p->second.job; j && j->incomplete == t.attempt && !p->second.fetching)
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -40,7 +40,8 @@
   wire::Shape shape = wire::Shape::array;
   bool spot = false, one_zone = false;
   bool plain_only = false;   // for now: it waits for a machine without GPUs
-  bool passed_over = false;  // nothing of it was started for long: any room will do, in other shares too
+  bool passed_over = false;  // nothing of it was started for long: room in other shares is to come to it
+  bool any_room = false;     // for longer: beside GPU work too
   std::uint32_t waiting = 0, running = 0;
   std::uint32_t closed_zones = 0;  // bit per zone that may take no more of it
   std::uint32_t per_zone = 0;      // at most so many in a zone; 0: any number
--- a/src/share/holder_answers.cpp
+++ b/src/share/holder_answers.cpp
@@ -74,13 +74,13 @@
     d.guess_ms = static_cast<std::uint32_t>(std::clamp(place::Placer::run_time(*j) * 1000, 0.0, 3.6e6));
     d.one_zone = j->spec->one_zone;
     d.plain_only = placer_.await_plain(*j, now);
-    d.passed_over = j->passed_over;
+    d.passed_over = j->passed_over, d.any_room = j->any_room;
     // Jobs that are alike are told as one: with ninety services waiting the rest would not be heard of.
     if (d.shape == wire::Shape::service) {
       auto same = std::find_if(out.begin(), out.end(), [&](const Demand& o) {
         return o.shape == d.shape && o.need == d.need && o.types == d.types && o.zone == d.zone &&
                o.rank == d.rank && o.spot == d.spot && o.one_zone == d.one_zone &&
-               o.plain_only == d.plain_only && o.passed_over == d.passed_over &&
+               o.plain_only == d.plain_only && o.passed_over == d.passed_over && o.any_room == d.any_room &&
                o.closed_zones == d.closed_zones && (o.per_zone > 0) == (d.per_zone > 0) && !d.one_zone;
       });
       if (same != out.end()) {
--- a/src/share/peer_frame.cpp
+++ b/src/share/peer_frame.cpp
@@ -89,8 +89,8 @@
       w.num<std::uint8_t>(d.zone);
       w.num<std::uint8_t>(static_cast<std::uint8_t>(d.rank));
       w.num<std::uint8_t>(static_cast<std::uint8_t>(d.shape));
-      w.num<std::uint8_t>(
-          static_cast<std::uint8_t>(d.spot | d.one_zone << 1 | d.plain_only << 2 | d.passed_over << 3));
+      w.num<std::uint8_t>(static_cast<std::uint8_t>(d.spot | d.one_zone << 1 | d.plain_only << 2 |
+                                                    d.passed_over << 3 | d.any_room << 4));
       w.num<std::uint32_t>(d.waiting);
       w.num<std::uint32_t>(d.running);
       w.num<std::uint32_t>(d.closed_zones);
@@ -133,7 +133,7 @@
       d.shape = static_cast<wire::Shape>(shape);
       const auto bits = r.num<std::uint8_t>();
       d.spot = bits & 1, d.one_zone = bits & 2, d.plain_only = bits & 4;
-      d.passed_over = bits & 8;  // left unread by the versions before
+      d.passed_over = bits & 8, d.any_room = bits & 16;  // left unread by the versions before
       d.waiting = r.num<std::uint32_t>();
       d.running = r.num<std::uint32_t>();
       d.closed_zones = r.num<std::uint32_t>();
