Known red: a holder that is cut off starts what was called off until its lease ends

To mend: tell a user only once the job's holder has had the cancellation, or its lease is surely over.

--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -589,5 +589,28 @@
   end_all(w, users);
 }
 
+// A holder that is cut off from the state service and the others starts what waits for as long as its lease
+// is valid; a job of its share is called off at another node meanwhile.
+TEST_F(FurtherMeetings, NothingStartsOnceAUserWasToldOfTheCancellation) {
+  SmallWorld w;
+  Users users(w);
+  w.push_lost = 0, w.most_machines = 4;
+  w.run_time = kSecond;
+  w.engine.run_for(20 * kSecond);
+  auto j = job("j-1", 600);
+  j["owner"] = "cards";
+  users.submit(j);
+  w.engine.run_for(30 * kSecond);
+  ASSERT_EQ(w.store.keys.at("s/holder/0").value.at("node"), "a");
+  ASSERT_FALSE(w.machines_of("j-1").empty());
+  w.state_refuses = w.cut_off = {"a"};
+  w.engine.run_for(200 * kMillisecond);
+  users.cancel("j-1", "b");
+  w.engine.run_for(20 * kSecond);
+  ASSERT_TRUE(w.cancelled.contains("j-1"));
+  EXPECT_EQ(w.start_after_cancellation, 0) << w.started_cancelled;
+  expect_rules(w);
+}
+
 }  // namespace
 }  // namespace aspenwick::testing
