--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -345,7 +345,7 @@
   for (auto& [id, d] : draining_) {
     if (d.first != w.share || d.second - plan.now > kDrainOn) continue;
     const auto r =
-        std::find_if(plan.rooms.begin(), plan.rooms.end(), [&](const Room& o) { return o.id == id; });
+        std::find_if(plan.rooms.begin(), plan.rooms.end(), [&m = id](const Room& o) { return o.id == m; });
     if (r == plan.rooms.end() || r->top_rank == wire::Rank::production || r->home < 0 || r->home == w.share ||
         !suits(w, r->type, r->zone, r->spot))
       continue;
