--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -306,9 +306,9 @@
 // ---------------------------------------------------------------- room in other shares
 
 /// Its share leaves room there that it has no use for, and has for a while: between two tasks there is always
-/// some. Not beside production, which mostly stays for good: such a machine took nothing more in vain, and
-/// low work had fewer (compact deadlines on the largest fleet 0.76 to 0.67). GPUs that are in use would stand
-/// idle for a few CPUs beside them.
+/// some. Not beside production, which mostly stays for good: such a machine would take nothing more in vain.
+/// (Without these two, compact work on the largest fleet kept fewer deadlines; which of them it was isn't
+/// known.) GPUs that are in use would stand idle for a few CPUs beside them.
 bool Renter::roomy(const Room& r, const Want& w) const {
   if (w.demand.need.gpus == 0 && r.free.gpus < types_[r.type].total.gpus && !only_beside_gpu_work(w))
     return false;
