--- /dev/null
+++ b/tests/ran_twice_test.cpp
@@ -0,0 +1,86 @@
+// Causes for which a task ran on two machines at once, or again after it was done: each test brings one about
+// (docs/incidents/2026-12-02-production.md).
+#include "node_fixture.h"
+
+namespace aspenwick::testing {
+namespace {
+
+using net::Method;
+
+constexpr Micros kLongRun = 3600 * kSecond;
+
+struct RanTwiceTest : NodeTest {
+  /// Node a leads and owns the share of this team.
+  void submit_for_node_a(const std::string& id, int tasks) {
+    auto submission = job(id, tasks);
+    submission["owner"] = "cards";
+    ASSERT_EQ(world.ask("b", Method::post, "/v1/jobs", submission).status, 201);
+  }
+  std::string owner_of_share_0() const {
+    const auto row = world.store.keys.find("s/holder/0");
+    return row == world.store.keys.end() ? "" : row->second.value.at("node").get<std::string>();
+  }
+  SmallWorld world;
+};
+
+// Node a is cut off from the state service and its peers and goes on answering its workers for a bounded time
+// after its lease. Its successor is killed and back at once, so the share changes owner twice within that
+// time: the second successor has to wait for node a's workers just as the first one had to.
+TEST_F(RanTwiceTest, ASecondTakeoverStillWaitsForTheOwnerBeforeTheFirst) {
+  for (Micros owned_for = 0; owned_for <= 4 * kSecond; owned_for += kSecond) {
+    SCOPED_TRACE(to_seconds(owned_for));
+    SmallWorld w;
+    w.run_time = kLongRun;
+    w.push_lost = 0;
+    w.engine.run_for(20 * kSecond);
+    auto submission = job("j-1", 8);
+    submission["owner"] = "cards";
+    ASSERT_EQ(w.ask("b", Method::post, "/v1/jobs", submission).status, 201);
+    w.engine.run_for(20 * kSecond);
+    for (const auto& machine : w.machines()) w.only_reaches[machine] = "a";
+    w.state_refuses = w.cut_off = {"a"};
+    auto owner = [&w] {
+      const auto row = w.store.keys.find("s/holder/0");
+      return row == w.store.keys.end() ? "" : row->second.value.at("node").get<std::string>();
+    };
+    for (int i = 0; i < 100 && (owner().empty() || owner() == "a"); ++i) w.engine.run_for(kSecond / 10);
+    const std::string successor = owner();
+    ASSERT_NE(successor, "a");
+    w.engine.run_for(owned_for);
+    w.crash(successor);
+    w.engine.run_for(50 * kMillisecond);
+    w.start(successor);
+    w.engine.run_for(60 * kSecond);
+    EXPECT_EQ(w.ran_twice, 0) << w.first_twice;
+    for (int i = 0; i < 8; ++i) EXPECT_EQ(w.starts["j-1/" + std::to_string(i)], 2);  // none is left waiting
+  }
+}
+
+// Answers to pushes overtake the worker's reports, whose answers renew its lease all the same: when the
+// machine falls silent, its tasks run until a lease after the last report that was answered.
+TEST_F(RanTwiceTest, AnswersToReportsThatPushAnswersOvertookRenewTheLease) {
+  world.push_lost = 0;
+  world.engine.run_for(20 * kSecond);
+  submit_for_node_a("j-1", 12);  // leaves an empty machine that can be used at once
+  world.engine.run_for(20 * kSecond);
+  world.run_time = kLongRun;
+  submit_for_node_a("j-2", 2);
+  world.engine.run_for(3 * kSecond);
+  const auto used = world.machines_of("j-2");
+  ASSERT_EQ(used.size(), 1U);
+  world.report_takes = 400 * kMillisecond;
+  for (int i = 0; i < 30; ++i) {  // a push now and then while reports are on their way
+    auto submission = job("j-" + std::to_string(100 + i), 1);
+    submission["owner"] = "cards";
+    submission["vcpus"] = 0.1, submission["ramGb"] = 0.1;
+    ASSERT_EQ(world.ask("b", Method::post, "/v1/jobs", submission).status, 201);
+    world.engine.run_for(200 * kMillisecond);
+  }
+  world.hang(used[0], 2 * world.worker_lease());
+  world.engine.run_for(2 * world.worker_lease());
+  EXPECT_EQ(world.ran_twice, 0) << world.first_twice;
+  EXPECT_EQ(world.starts["j-2/0"], 2);
+}
+
+}  // namespace
+}  // namespace aspenwick::testing
--- a/tests/small_world.cpp
+++ b/tests/small_world.cpp
@@ -88,6 +88,19 @@
   engine_.at(10 * kMillisecond, again);
 }
 
+Json StateStore::page(const std::string& under, const std::string& since) const {
+  Json rows = Json::array();
+  bool more = false;
+  for (auto it = keys.upper_bound(since); it != keys.end(); ++it) {
+    const auto& [key, kept] = *it;
+    if (!key.starts_with(under)) continue;
+    more = rows.size() >= rows_in_page;
+    if (more) break;
+    rows.push_back({{"path", key}, {"value", kept.value}, {"stamp", kept.stamp}});
+  }
+  return {{"rows", rows}, {"hasNext", more}, {"ledgerRev", revision_}};
+}
+
 void StateStore::request(net::Method method, const std::string& path, const std::string& body,
                          const Done& done, const std::function<bool()>& waits) {
   if (path == "/commit") return commit(Json::parse(body), done);
@@ -101,11 +114,9 @@
                 Json{{"path", it->first}, {"value", it->second.value}, {"stamp", it->second.stamp}}.dump());
   }
   if (path.starts_with("/kv?")) {
-    Json rows = Json::array();
-    for (const auto& [key, k] : keys)
-      if (key.starts_with(part(path, "under")))
-        rows.push_back({{"path", key}, {"value", k.value}, {"stamp", k.stamp}});
-    return done(200, Json{{"rows", rows}, {"hasNext", false}, {"ledgerRev", revision_}}.dump());
+    auto answer = [this, path, done] { done(200, page(part(path, "under"), part(path, "since")).dump()); };
+    if (page_takes == 0) return answer();
+    return engine_.at(page_takes, answer);
   }
   if (path == "/grants") {
     const Micros life = Json::parse(body).at("lifeMs").get<Micros>() * kMillisecond;
@@ -514,9 +525,9 @@
       for (const auto& o : j.at("orders")) obey(worker, o);
     });
   };
-  auto send = [](Node* to, const std::string& text, std::function<void(int, const std::string&)> done) {
+  auto send = [this](Node* to, const std::string& text, std::function<void(int, const std::string&)> done) {
     auto post = std::make_shared<Post>(net::Method::post, "/hello", text, std::move(done));
-    to->loop.later(kTrip, [to, post] { to->controller->asked(post); });
+    to->loop.later(std::max(kTrip, report_takes), [to, post] { to->controller->asked(post); });
   };
   send(nodes_.at(w.node).get(), body.dump(), answered);
   if (by_chance(report_kept)) kept_reports_.push_back(body.dump());
--- a/tests/small_world.h
+++ b/tests/small_world.h
@@ -99,7 +99,9 @@
   std::map<std::string, Kept> keys;
   std::function<void(const std::string& key)> on_set = [](const std::string&) {};
   int held_keys_removed = 0;
-  bool down = false;  // nothing is executed, and leases have their full time again afterwards
+  bool down = false;                // nothing is executed, and leases have their full time again afterwards
+  std::size_t rows_in_page = 1000;  // at most, of a list of keys
+  Micros page_takes = 0;            // until a page is answered, as it is by then
 
  private:
   void commit(const Json& asked, const Done& done);
@@ -108,6 +110,7 @@
   void put(const std::string& key, std::optional<Kept> value);
   void end_lease(std::uint64_t lease);
   void expire();
+  Json page(const std::string& under, const std::string& since) const;
 
   struct Lease {
     Micros life = 0, ends = 0;
@@ -168,6 +171,7 @@
   double push_lost = 1, push_late = 0;  // parts of all; late: up to two minutes
   double answer_lost = 0;               // of the state service's, which has executed the request
   double report_lost = 0;               // of reports, half of them answered in vain
+  Micros report_takes = 0;              // on its way to a node, what is sent later may overtake it
   std::set<std::string> watch_stalls;   // nodes whose open watches are told nothing
   std::set<std::string> unanswered;     // nodes whose commits are executed without an answer
   bool& state_down = store.down;
