A takeover waits for every former owner that may still renew workers, not only the last

Cause: a right that had lapsed elsewhere was judged by the last owner alone. Node a, cut off, renews its workers for up to 8 s after its lease; node b takes the share, ends and is back in a moment; the next owner knew that b had stopped and counted a's workers as lapsed from then on. Ownership keeps each former owner until its time to renew is over; after a reading of all keys, whoever owned a changed share meanwhile is unknown and counts like that. The trace harness asks for a share now; what the old traces say is unchanged.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -109,12 +109,12 @@
   const bool first = !records_.synced();
   std::set<std::string> seen;
   for (const auto& r : rows) seen.insert(r.key);
-  keeper_.reading_again(!first);
+  keeper_.reading_keys();
   // Machines and jobs before holders: a share's holder is made from all that was there when it was taken.
   for (const auto& key : records_.missing(seen)) apply({key, nullptr, 0, true});
   for (const auto& key : keeper_.missing(seen, first)) apply({key, nullptr, 0, true});
   for (const auto& r : rows) apply(r);
-  keeper_.reading_again(false);
+  keeper_.keys_read();
   records_.in_step();
   records_.follow_graph();
   if (first) {
--- a/src/app/keeper.cpp
+++ b/src/app/keeper.cpp
@@ -37,16 +37,10 @@
   if (key.starts_with(kHolder)) {
     const int share = std::stoi(key.substr(kHolder.size()));
     if (share < 0 || share >= own_.shares()) return;
-    const HolderKey* known = own_.holder(share);
-    if (known && (row.removed || known->version != row.version)) {
-      former_[share] = {known->node, known->lease};
-      if (gap_) former_.erase(share);  // others may have held it since
-    }
-    if (row.removed)
-      own_.holder_removed(share, needs_.loop.now());
-    else
-      own_.holder_set(share, share::holder_from_json(row.value, row.version)),
-          end_if_former(*own_.holder(share));
+    const Micros now = needs_.loop.now();
+    if (row.removed) return own_.holder_removed(share, now);
+    own_.holder_set(share, share::holder_from_json(row.value, row.version), now);
+    end_if_former(*own_.holder(share));
   } else if (key == kLeader) {
     if (row.removed)
       own_.leader_removed(needs_.loop.now());
@@ -146,7 +140,6 @@
   held.key_version = held.taken_version = key.version;
   held.made = ++made_;
   held.loading = true;
-  const auto former = former_.contains(s) ? former_[s] : std::pair<std::string, std::uint64_t>{};
   share::HolderSettings hs;
   hs.share = s;
   hs.rnn = settings_.rnn;
@@ -155,7 +148,7 @@
   const Micros now = needs_.loop.now();
   held.holder = std::make_unique<share::Holder>(
       platform_, records().types(), hs, [this](const std::string& id) { return records().job(id); },
-      held.epoch, now, own_.renewable_until(former.first, former.second, now));
+      held.epoch, now, own_.renewable_until(s, now));
   spdlog::info("share {}: held with epoch {}", s, held.epoch);
   for (const auto& [id, record] : records().jobs())
     if (!record.final()) job_seen(id, record);
@@ -313,7 +306,7 @@
       [this, s, made = held.made, mine = HolderKey(mine)](int code, std::uint64_t revision) mutable {
         if (code != 200 || !find(s, made)) return;
         mine.version = revision;
-        own_.holder_set(s, mine);
+        own_.holder_set(s, mine, needs_.loop.now());
         sync();
       });
 }
--- a/src/app/keeper.h
+++ b/src/app/keeper.h
@@ -51,9 +51,9 @@
   void end_former(std::uint64_t lease);
   /// Our former process's row of formats, which is on its lease, read ahead of all else.
   void find_former();
-  /// All keys are read again after changes that the watch didn't tell: who held a share in between, or held
-  /// it last, is not known then.
-  void reading_again(bool on) { gap_ = on; }
+  /// All rows of a full reading are about to be applied, and were.
+  void reading_keys() { own_.reading_keys(); }
+  void keys_read() { own_.keys_read(needs_.loop.now()); }
   /// Makes, ends and feeds holders as the keys and records now say.
   void sync();
   void job_seen(const std::string& id, const job::JobRecord& record);
@@ -102,11 +102,10 @@
   Needs needs_;
   share::Ownership own_;
   std::map<int, Held> held_;
-  std::map<int, std::pair<std::string, std::uint64_t>> former_;  // share -> last holder's node and lease
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> tokens_;  // counter -> epoch, row's version
   std::set<int> taking_;
   std::set<std::uint64_t> ending_;  // leases of former processes
-  bool taking_leader_ = false, lease_asked_ = false, gap_ = false;
+  bool taking_leader_ = false, lease_asked_ = false;
   std::uint64_t made_ = 0;
   Micros renewed_ = 0;
 };
--- a/src/share/ownership.cpp
+++ b/src/share/ownership.cpp
@@ -50,11 +50,16 @@
 }
 bool Ownership::lease_valid(Micros now) const { return lease_ && now < valid_until_; }
 
-void Ownership::holder_set(int share, const HolderKey& key) {
+void Ownership::holder_set(int share, const HolderKey& key, Micros now) {
+  if (const HolderKey* known = holder(share); known && (known->node != key.node || known->lease != key.lease))
+    add_former(share, {known->node, known->lease, {}}, now);
+  for (auto& former : former_owners_[share])
+    if (!former.renews_until) former.renews_until = renewal_bound(now);
   holders_[share] = key;
   free_since_.erase(share);
 }
 void Ownership::holder_removed(int share, Micros now) {
+  if (const HolderKey* known = holder(share)) add_former(share, {known->node, known->lease, {}}, now);
   holders_.erase(share);
   free_since_[share] = now;
 }
@@ -129,13 +134,49 @@
   return now < valid_until_ || beyond_lease(now, [](const PeerState&) { return true; });
 }
 
-Micros Ownership::renewable_until(const std::string& former, std::uint64_t former_lease, Micros now) const {
-  if (former == me_) return now;  // our own former process, which has ended
-  auto it = peers_.find(former);
+void Ownership::add_former(int share, FormerOwner former, Micros now) {
+  auto& formers = former_owners_[share];
+  std::erase_if(formers, [&](const FormerOwner& f) { return f.renews_until && *f.renews_until <= now; });
+  formers.push_back(std::move(former));
+}
+
+void Ownership::reading_keys() {
+  versions_before_.clear();
+  for (const auto& [share, key] : holders_) versions_before_[share] = key.version;
+}
+
+void Ownership::keys_read(Micros now) {
+  for (int s = 0; s < shares(); ++s) {
+    const HolderKey* key = holder(s);
+    const auto before = versions_before_.find(s);
+    if (key && before != versions_before_.end() && before->second == key->version) continue;
+    FormerOwner unknown;
+    if (key) unknown.renews_until = renewal_bound(now);
+    add_former(s, std::move(unknown), now);
+  }
+}
+
+/// Who was confirmed by peers went on for as long as a peer's word counts, who wasn't for the bound.
+Micros Ownership::renewal_bound(Micros now) const { return now + std::max(unconfirmed_bound(), kPeerFresh); }
+
+bool Ownership::surely_stopped(const FormerOwner& former, Micros now) const {
+  if (former.node == me_) return true;  // our own former process, or ourselves under a lease that is over
+  const auto peer = peers_.find(former.node);
   // It lives and says that it no longer goes by that lease.
-  if (it != peers_.end() && now - it->second.at < kPeerFresh && it->second.lease != former_lease) return now;
-  // Confirmed, it went on for as long as a peer's word counts.
-  return now + std::max(unconfirmed_bound(), kPeerFresh);
+  return peer != peers_.end() && now - peer->second.at < kPeerFresh && peer->second.lease != former.lease;
+}
+
+/// Not only the last owner counts: it may have taken the share a moment ago from one that is cut off and goes
+/// on with its workers, and have ended since. All who may still renew are remembered until their time is
+/// over.
+Micros Ownership::renewable_until(int share, Micros now) const {
+  Micros until = now;
+  const auto formers = former_owners_.find(share);
+  if (formers == former_owners_.end()) return until;
+  for (const FormerOwner& former : formers->second)
+    if (!surely_stopped(former, now))
+      until = std::max(until, former.renews_until.value_or(renewal_bound(now)));
+  return until;
 }
 
 bool Ownership::refused_alone(Micros now) const {
--- a/src/share/ownership.h
+++ b/src/share/ownership.h
@@ -51,8 +51,12 @@
   void records_read(Micros sent) { read_ = std::max(read_, sent); }
 
   // ---- what the state service shows
-  void holder_set(int share, const HolderKey& key);
+  void holder_set(int share, const HolderKey& key, Micros now);
   void holder_removed(int share, Micros now);
+  /// All keys are about to be read anew, at the start or after changes that no watch has told; then they
+  /// were. Who owned a share meanwhile is not known.
+  void reading_keys();
+  void keys_read(Micros now);
   void leader_set(const HolderKey& key) { leader_ = key; }
   void leader_removed(Micros now) { leader_.reset(), leader_free_since_ = now; }
   const HolderKey* holder(int share) const;
@@ -77,9 +81,9 @@
   /// What we tell peers. While our lease is valid we may take their shares, so we never say that we lack the
   /// state service then, whatever single calls of ours came to: they would go on renewing their workers.
   bool has_state(bool answered, Micros now) const { return answered || lease_valid(now); }
-  /// The last moment at which the former holder may have renewed a worker's lease, when we take over at
-  /// `now`.
-  Micros renewable_until(const std::string& former, std::uint64_t former_lease, Micros now) const;
+  /// The last moment at which anybody who owned the share before its present key may renew a worker's lease;
+  /// `now` if all of them have surely stopped.
+  Micros renewable_until(int share, Micros now) const;
   /// The state service answers others but not us.
   bool refused_alone(Micros now) const;
   /// Neither the state service nor any peer has been heard for so long that we may not even answer workers:
@@ -98,6 +102,15 @@
   int share_of_team(const std::string& team) const;
 
  private:
+  /// Somebody whose key of a share has gone.
+  struct FormerOwner {
+    std::string node;  // empty: not known
+    std::uint64_t lease = 0;
+    std::optional<Micros> renews_until;  // at the latest; not known before the next key is there
+  };
+  void add_former(int share, FormerOwner former, Micros now);
+  Micros renewal_bound(Micros now) const;
+  bool surely_stopped(const FormerOwner& former, Micros now) const;
   bool beyond_lease(Micros now, const std::function<bool(const PeerState&)>& confirms) const;
   const char* objection(int share, const PeerState& peer) const;
 
@@ -111,6 +124,8 @@
   Micros served_ = 0, read_ = 0;  // the state service knew our lease then; all job records were read then
   std::map<int, HolderKey> holders_;
   std::map<int, Micros> free_since_;
+  std::map<int, std::vector<FormerOwner>> former_owners_;  // by share, those that may still renew workers
+  std::map<int, std::uint64_t> versions_before_;           // of the keys, before they were read anew
   std::optional<HolderKey> leader_;
   Micros leader_free_since_ = 0;
   std::map<std::string, PeerState> peers_;
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -270,7 +270,10 @@
       if (words_.at(1) == "gone")
         own_.holder_removed(share, now_);
       else
-        own_.holder_set(share, {words_.at(1), static_cast<std::uint64_t>(number("lease", 0)), 1, 1});
+        own_.holder_set(share,
+                        {words_.at(1), static_cast<std::uint64_t>(number("lease", 0)), 1,
+                         static_cast<std::uint64_t>(number("version", 1))},
+                        now_);
     } else if (event == "peer") {
       const Micros since = peer_since_.try_emplace(words_.at(0), now_).first->second;
       own_.peer_reported(words_.at(0),
@@ -309,15 +312,28 @@
       if (heard.state) out_.push_back("said at " + seconds(heard.state->at));
       if (heard.answer) out_.push_back("answer at once");
     } else if (event == "renewable") {
-      const Micros until =
-          own_.renewable_until(words_.at(0), static_cast<std::uint64_t>(number("lease", 0)), now_);
-      out_.push_back("for " + std::to_string((until - now_) / kSecond) + " s");
+      out_.push_back("for " + std::to_string((renewable_until() - now_) / kSecond) + " s");
+    } else if (event == "reading") {
+      own_.reading_keys();
+    } else if (event == "keys_read") {
+      own_.keys_read(now_);
     } else {
       return false;
     }
     return true;
   }
 
+  /// Of a share, or of one whose only owner so far was this node, and whose key has just gone.
+  Micros renewable_until() const {
+    if (words_.at(0).find_first_not_of("0123456789") == std::string::npos)
+      return own_.renewable_until(std::stoi(words_.at(0)), now_);
+    Ownership after(own_);
+    constexpr int kUnused = 100;
+    after.holder_set(kUnused, {words_.at(0), static_cast<std::uint64_t>(number("lease", 0)), 1, 1}, now_);
+    after.holder_removed(kUnused, now_);
+    return after.renewable_until(kUnused, now_);
+  }
+
   static std::string seconds(Micros at) { return std::to_string((at - kStart) / kSecond); }
 
   void say_rebuilt() {
