A report that a push answer overtook counts: its answer renews the worker's lease

Cause: a check in one path and not in the other. Holder::on_report answered a report with a lower number than a push answer seen before, as it answers copies, and left the lease expiry it counts alone; the worker, which waits for that answer, renews its lease from that report. Silent afterwards (hung, cut off), its tasks were started elsewhere up to a report interval and more too early. Copies, which nobody waits for, still count for nothing.

--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -113,6 +113,7 @@
   std::map<TaskKey, Placed> tasks;
   std::vector<Order> forgets;
   std::uint64_t session = 0, seq = 0, seen_token = 0, bump = 0;
+  std::uint64_t report_seq = 0;  // of the worker's newest own report in this session; 0: none
   Micros idle_since = 0, last_report = 0, push_again = 0;
   int pushes_lost = 0;             // in a row
   std::uint64_t launch_token = 0;  // under which starts were pushed last
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -177,16 +177,29 @@
 
 // ---------------------------------------------------------------- reports
 
+/// A worker has one report in flight and drops answers to any other, and to those of earlier sessions. One
+/// that the answer to a push overtook is still waited for: its answer renews the lease, so it has to count,
+/// or the machine's tasks are started elsewhere while they still run there.
+Holder::ReportOrder Holder::order_of(const Machine& m, const WorkerReport& r) {
+  if (std::pair{r.session, r.seq} > std::pair{m.session, m.seq}) return ReportOrder::newest;
+  const bool waited_for = r.session == m.session && r.seq > m.report_seq;
+  return waited_for ? ReportOrder::overtaken : ReportOrder::copy;
+}
+
 std::optional<Holder::Answer> Holder::on_report(const WorkerReport& r, Micros now, bool may_start) {
   auto it = picture_.machines.find(r.machine);
   if (it == picture_.machines.end()) return {};
   Machine& m = it->second;
   // A worker that has seen a higher token has another holder: our answer would be dropped.
   if (r.token > token(m)) return {};
-  // Late or repeated reports (held packets) must not undo newer ones; they still get an answer.
-  if (std::pair{r.session, r.seq} <= std::pair{m.session, m.seq}) return Answer{token(m), {}};
-  if (m.hearing.shown(r.token, floor(m))) picture_.gained(m);
-  apply(m, r, true, now);
+  // Late or repeated reports (held packets) must not undo newer ones. Nobody waits for the answer to a copy.
+  const ReportOrder order = order_of(m, r);
+  if (order == ReportOrder::copy) return Answer{token(m), {}};
+  if (order == ReportOrder::newest) {
+    if (m.hearing.shown(r.token, floor(m))) picture_.gained(m);
+    apply(m, r, true, now);
+  }
+  m.report_seq = r.seq;
   // Our answers don't reach it, nor do pushes: each further one would only put off the moment from which its
   // lease has surely lapsed, and what may be on it would hold up the share for as long as it reports.
   const int enough = m.pushes_lost >= kGivenUp ? 1 : kMostInVain;
@@ -195,6 +208,7 @@
   // Never sooner than before: a copy of an old report may come in the seconds in which the former holder, cut
   // off, still answers the worker itself.
   m.lapse_at = std::max(m.lapse_at, surely_lapsed(now));
+  if (order == ReportOrder::overtaken) return Answer{token(m), {}};
   auto orders = take_orders(m, false, r.seq, may_start, now);
   return Answer{token(m), std::move(orders)};  // the orders may take a higher token
 }
@@ -211,6 +225,7 @@
     if (m.accounted) m.lapse_at = std::max(m.lapse_at, surely_lapsed(now));
     // A session ends when no answer arrives for a lease, and by our book some did.
     if (unheard) doubt(m, now, "its session ended between our answers");
+    m.report_seq = 0;
   }
   m.session = r.session;
   m.seq = r.seq;
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -166,6 +166,13 @@
   using Placed = place::Placed;
   using TaskKey = place::TaskKey;
 
+  /// How a worker's own report relates to what is known of the machine.
+  enum class ReportOrder : std::uint8_t {
+    newest,     // it tells something new
+    overtaken,  // by the answer to a push; the worker waits for our answer all the same
+    copy,       // a newer report of the worker was seen: it drops our answer
+  };
+  static ReportOrder order_of(const Machine& m, const wire::WorkerReport& r);
   std::uint64_t token(const Machine& m) const;
   bool apply(Machine& m, const wire::WorkerReport& r, bool own_report, Micros now);
   void lapse(Machine& m, Micros now, const char* why);
