Decisions on attempts in one place, with reasons; invariants checked at run time; log lines of rights and reads

place/decision judges each start just before its order leaves and names why an attempt counts as gone; Picture::drop takes that reason instead of a flag. A violated invariant (one attempt of a task, done is final, epochs rise) aborts in tests; in production the action is refused, logged as an error with its evidence, and counted. Log: lease, epoch and key revision of each share taken or lost and why, full readings of the state service, lost changes; per attempt at debug. Behaviour is unchanged where no invariant is violated.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -18,6 +18,16 @@
 constexpr Micros kKeep = 200 * kMillisecond;
 constexpr Micros kReplan = 5 * kSecond;
 constexpr Micros kMetrics = 10 * kSecond;
+
+/// Only the reasons that occurred.
+std::string freed_text(const std::array<std::uint64_t, place::kFreedReasons>& counts) {
+  std::string text;
+  for (std::size_t i = 0; i < counts.size(); ++i)
+    if (counts[i] > 0)
+      text +=
+          " " + std::string(place::to_string(static_cast<place::Freed>(i))) + " " + std::to_string(counts[i]);
+  return text.empty() ? " none" : text;
+}
 }  // namespace
 
 Controller::Controller(const wire::PlatformSettings& platform, const OperatorSettings& ops, Needs needs)
@@ -193,7 +203,12 @@
                    sum.machines, sum.free.cpus / 1'000'000, sum.total.cpus / 1'000'000,
                    sum.free.gpus / 1'000'000, sum.total.gpus / 1'000'000);
     spdlog::info("metrics: share {} waiting tasks {}", share, held.holder->waiting());
+    spdlog::info("metrics: share {} attempts freed:{}", share, freed_text(held.holder->freed()));
   }
+  for (std::size_t i = 0; i < place::kInvariants; ++i)
+    if (const auto count = place::violations().at(i); count > 0)
+      spdlog::error("metrics: invariant violated {} times: {}", count,
+                    place::to_string(static_cast<place::Invariant>(i)));
   spdlog::info("metrics: waits {}, planning {}, state calls {}", waits_.text(), planning_.text(),
                state_calls_.text());
   spdlog::info("metrics: reports {} users {} jobs {} machines {} shares {}{}", workers_desk_.reports(),
--- a/src/app/keeper.cpp
+++ b/src/app/keeper.cpp
@@ -101,12 +101,13 @@
       spdlog::info("share {}: goes on with epoch {}", it->first, key->epoch);
       held.epoch = key->epoch, held.key_version = key->version, held.raising = 0;
       held.holder->raise_epoch(key->epoch);
+      last_epochs_[it->first] = std::max(last_epochs_[it->first], key->epoch);
     }
     if (own_.ours(key) && key->epoch == held.epoch) {
       ++it;
       continue;
     }
-    spdlog::info("share {}: no longer held", it->first);
+    spdlog::info("share {}: no longer held with epoch {}: {}", it->first, held.epoch, why_not_held(key));
     it = held_.erase(it);
   }
   for (int s = 0; s < own_.shares() && !records().types().empty(); ++s)
@@ -134,7 +135,20 @@
   }
 }
 
+std::string Keeper::why_not_held(const HolderKey* key) const {
+  if (!own_.lease()) return "our lease has ended";
+  if (!key) return "its key is gone";
+  return "its key is " + key->node + "'s with epoch " + std::to_string(key->epoch) + " at revision " +
+         std::to_string(key->version);
+}
+
 void Keeper::make_holder(int s, const HolderKey& key) {
+  std::uint64_t& last = last_epochs_[s];
+  if (key.epoch < last)
+    return place::violated(place::Invariant::epochs_rise, "share " + std::to_string(s) + ": epoch " +
+                                                              std::to_string(key.epoch) + " after " +
+                                                              std::to_string(last));
+  last = key.epoch;
   Held& held = held_[s];
   held.epoch = key.epoch;
   held.key_version = held.taken_version = key.version;
@@ -149,7 +163,9 @@
   held.holder = std::make_unique<share::Holder>(
       platform_, records().types(), hs, [this](const std::string& id) { return records().job(id); },
       held.epoch, now, own_.renewable_until(s, now));
-  spdlog::info("share {}: held with epoch {}", s, held.epoch);
+  spdlog::info(
+      "share {}: held with epoch {}, lease {}, key at revision {}; former owners may renew for {:.1f} s", s,
+      held.epoch, key.lease, key.version, to_seconds(own_.renewable_until(s, now) - now));
   for (const auto& [id, record] : records().jobs())
     if (!record.final()) job_seen(id, record);
 }
@@ -215,7 +231,7 @@
     if (code == 200) {
       own_.lease_renewed(sent);
     } else if (code == 404) {
-      spdlog::info("our lease has ended");
+      spdlog::info("our lease {} has ended", lease);
       own_.lease_lost();
       sync();
       own_lease();
--- a/src/app/keeper.h
+++ b/src/app/keeper.h
@@ -93,6 +93,7 @@
   void remove_key(int share, std::uint64_t made, std::uint64_t version, bool unsure);
   void raise_epoch(int share, Held& held);
   void say_whether_answered(int share, Held& held) const;
+  std::string why_not_held(const share::HolderKey* key) const;
   void make_holder(int share, const share::HolderKey& key);
   void load_done(int share, std::uint64_t made);
   const Records& records() const { return needs_.records; }
@@ -102,6 +103,7 @@
   Needs needs_;
   share::Ownership own_;
   std::map<int, Held> held_;
+  std::map<int, std::uint64_t> last_epochs_;  // with which we owned each share last
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> tokens_;  // counter -> epoch, row's version
   std::set<int> taking_;
   std::set<std::uint64_t> ending_;  // leases of former processes
--- /dev/null
+++ b/src/place/decision.cpp
@@ -0,0 +1,103 @@
+#include "place/decision.h"
+
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+
+#include "place/picture.h"
+
+namespace aspenwick::place {
+namespace {
+std::array<std::uint64_t, kInvariants> violation_counts{};
+bool aborts = false;
+}  // namespace
+
+std::string_view to_string(Freed why) {
+  switch (why) {
+    case Freed::never_sent:
+      return "never sent";
+    case Freed::job_over:
+      return "job over";
+    case Freed::done:
+      return "done";
+    case Freed::exited:
+      return "exited";
+    case Freed::not_listed:
+      return "not listed";
+    case Freed::fenced:
+      return "fenced";
+    case Freed::push_refused:
+      return "push refused";
+    case Freed::replaced:
+      return "replaced";
+    case Freed::runs_elsewhere:
+      return "runs elsewhere";
+    case Freed::lease_expired:
+      return "lease expired";
+    case Freed::new_session:
+      return "new session";
+    case Freed::left_share:
+      return "left the share";
+    case Freed::refused:
+      return "start refused";
+  }
+  return "unknown";
+}
+
+bool runs_again(Freed why) { return why != Freed::job_over && why != Freed::done; }
+
+std::string_view to_string(StartRefusal why) {
+  switch (why) {
+    case StartRefusal::none:
+      return "none";
+    case StartRefusal::lease_not_valid:
+      return "lease not valid";
+    case StartRefusal::machine_not_accounted:
+      return "machine not accounted for";
+    case StartRefusal::job_over:
+      return "job over";
+    case StartRefusal::task_done:
+      return "task done";
+    case StartRefusal::other_attempt:
+      return "another attempt may live";
+  }
+  return "unknown";
+}
+
+StartRefusal start_refusal(const Picture& picture, const Machine& machine, const Placed& attempt,
+                           bool lease_valid) {
+  if (!lease_valid) return StartRefusal::lease_not_valid;
+  if (!machine.accounted) return StartRefusal::machine_not_accounted;
+  const Job* job = attempt.job;
+  if (!job || job->cancelled || job->finished) return StartRefusal::job_over;
+  if (job->done.test(attempt.index)) return StartRefusal::task_done;
+  const auto active = job->active.find(attempt.index);
+  const bool is_the_active_one = active != job->active.end() && active->second == &machine;
+  if (!is_the_active_one || picture.strays.contains({attempt.job_id, attempt.index}))
+    return StartRefusal::other_attempt;
+  return StartRefusal::none;
+}
+
+std::string_view to_string(Invariant which) {
+  switch (which) {
+    case Invariant::one_attempt_of_a_task:
+      return "one attempt of a task";
+    case Invariant::done_is_final:
+      return "done is final";
+    case Invariant::epochs_rise:
+      return "epochs rise";
+  }
+  return "unknown";
+}
+
+void violated(Invariant which, const std::string& evidence) {
+  ++violation_counts.at(static_cast<std::size_t>(which));
+  spdlog::error("invariant violated: {}: {}", to_string(which), evidence);
+  if (aborts) std::abort();
+}
+
+const std::array<std::uint64_t, kInvariants>& violations() { return violation_counts; }
+
+void abort_on_violation(bool on) { aborts = on; }
+
+}  // namespace aspenwick::place
--- /dev/null
+++ b/src/place/decision.h
@@ -0,0 +1,69 @@
+// Decisions on attempts, each with its reason: whether an attempt may be started now, and why one counts as
+// gone from its machine. Also the invariants that are checked where such a decision is carried out.
+// Socket-free.
+#pragma once
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace aspenwick::place {
+
+struct Machine;
+struct Picture;
+struct Placed;
+
+/// Why an attempt counts as gone from its machine.
+enum class Freed : std::uint8_t {
+  never_sent,      // it was assigned, and no order to start it had left
+  job_over,        // the same, and its job is done or cancelled
+  done,            // it exited and its task is done
+  exited,          // it exited for any other reason
+  not_listed,      // a newer report of its machine doesn't list it
+  fenced,          // its start was pushed without an answer, and the worker has seen a higher token since
+  push_refused,    // the worker refused the push that would have started it
+  replaced,        // its machine reports another attempt of the task
+  runs_elsewhere,  // it was assigned, and another machine reports the task
+  lease_expired,   // the worker's lease has surely expired
+  new_session,     // its machine reports a later session
+  left_share,      // the machine's record is gone, or names another share
+  refused,         // its start would have broken an invariant
+};
+inline constexpr std::size_t kFreedReasons = static_cast<std::size_t>(Freed::refused) + 1;
+/// For log lines and metrics.
+std::string_view to_string(Freed why);
+/// The task is to be started again.
+bool runs_again(Freed why);
+
+/// Why an assigned attempt may not be started now.
+enum class StartRefusal : std::uint8_t {
+  none,
+  lease_not_valid,        // we may not own the share any more; ends by itself
+  machine_not_accounted,  // what runs on the machine is not known yet; ends by itself
+  // From here on: an invariant would be broken.
+  job_over,
+  task_done,
+  other_attempt,  // another attempt of the task is on a machine, or may be
+};
+std::string_view to_string(StartRefusal why);
+/// Judged just before an order leaves. `lease_valid`: our lease with the state service surely is.
+StartRefusal start_refusal(const Picture& picture, const Machine& machine, const Placed& attempt,
+                           bool lease_valid);
+
+/// What must hold whatever happens.
+enum class Invariant : std::uint8_t {
+  one_attempt_of_a_task,  // no attempt is started while another of the task may live
+  done_is_final,          // nothing is started of a task or job that is over
+  epochs_rise,            // the epoch of a share that we own never falls
+};
+inline constexpr std::size_t kInvariants = static_cast<std::size_t>(Invariant::epochs_rise) + 1;
+std::string_view to_string(Invariant which);
+/// Logs the evidence as an error and counts it. The caller refuses the action. In tests the process aborts.
+void violated(Invariant which, const std::string& evidence);
+/// Since the process began, by invariant.
+const std::array<std::uint64_t, kInvariants>& violations();
+/// For tests: what calls `violated` ends the process.
+void abort_on_violation(bool on);
+
+}  // namespace aspenwick::place
--- a/src/place/picture.cpp
+++ b/src/place/picture.cpp
@@ -1,5 +1,7 @@
 #include "place/picture.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace aspenwick::place {
@@ -42,6 +44,10 @@
   ++changes;
   if (!p.team.empty()) team_use[p.team] += p.need;
   if (Job* j = p.job) {
+    if (j->active.contains(p.index))
+      violated(Invariant::one_attempt_of_a_task, p.job_id + "/" + std::to_string(p.index) + " on " +
+                                                     m.record.id + " and on " +
+                                                     j->active[p.index]->record.id);
     j->active[p.index] = &m;
     j->again.erase(p.index);
     if (j->in_zone.size() <= static_cast<std::size_t>(m.zone))
@@ -54,8 +60,11 @@
   m.tasks.emplace(std::move(key), std::move(p));
 }
 
-void Picture::drop(Machine& m, std::map<TaskKey, Placed>::iterator it, Micros now, bool again) {
+void Picture::drop(Machine& m, std::map<TaskKey, Placed>::iterator it, Micros now, Freed why) {
   const Placed p = std::move(it->second);
+  ++freed.at(static_cast<std::size_t>(why));
+  spdlog::debug("freed {}/{} try {} on {} session {} token {}: {}", p.job_id, p.index, p.attempt, m.record.id,
+                m.session, m.seen_token, to_string(why));
   const TaskKey key = it->first;
   m.tasks.erase(it);
   m.free += p.need;
@@ -75,7 +84,7 @@
     erase_if_over(p.job_id);
     return;
   }
-  if (!again || j->done.test(p.index)) return;
+  if (!runs_again(why) || j->done.test(p.index)) return;
   j->again.insert(p.index);
   // What was never seen to start, its order lost, has been waiting all along.
   if (j->waiting() == 1 && p.phase >= Phase::present) j->waits_since = now;
--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "job/record.h"
+#include "place/decision.h"
 #include "place/hearing.h"
 #include "wire/wire.h"
 
@@ -196,9 +197,10 @@
   std::map<TaskKey, int> strays;
   std::set<Machine*, ById> to_order;  // may have orders to be pushed, or is to be asked for a report
   std::uint64_t changes = 1;          // counts whatever may change what could be stopped or placed
+  std::array<std::uint64_t, kFreedReasons> freed{};  // attempts, by reason
 
-  /// The attempt is surely gone from the machine; `again`: its task should run again.
-  void drop(Machine& m, std::map<TaskKey, Placed>::iterator it, Micros now, bool again);
+  /// The attempt is surely gone from the machine; the reason tells whether its task is to run again.
+  void drop(Machine& m, std::map<TaskKey, Placed>::iterator it, Micros now, Freed why);
   void add(Machine& m, Placed p);
   void halt(Placed& p, Micros grace);
   /// There may be room that was not there: on machines of this type, or anywhere.
--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -409,7 +409,8 @@
     // All or none.
     j.gang_attempt = 0;
     const auto active = j.active;
-    for (const auto& [index, m] : active) picture_.drop(*m, m->tasks.find({j.id, index}), now, true);
+    for (const auto& [index, m] : active)
+      picture_.drop(*m, m->tasks.find({j.id, index}), now, Freed::never_sent);
     return false;
   }
   ++attempts_;
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -95,7 +95,7 @@
       auto p = m->tasks.find({id, index});
       if (p == m->tasks.end()) continue;
       if (p->second.phase == Phase::assigned)
-        picture_.drop(*m, p, now, false);
+        picture_.drop(*m, p, now, Freed::job_over);
       else
         picture_.halt(p->second, 0);
     }
@@ -169,7 +169,7 @@
 void Holder::machine_gone(const std::string& id, Micros now) {
   auto it = picture_.machines.find(id);
   if (it == picture_.machines.end()) return;
-  lapse(it->second, now, "left the share");
+  lapse(it->second, now, Freed::left_share);
   placer_.rnn().leave(it->second.neuron);
   picture_.leave(it);
   check_rebuilt(now);
@@ -218,7 +218,7 @@
   if (r.session > m.session) {
     const Micros answered = m.lapse_at - surely_lapsed(0);
     const bool unheard = m.session != 0 && m.accounted && m.up && now - answered < platform_.worker_lease;
-    if (m.session != 0) lapse(m, now, "new session");
+    if (m.session != 0) lapse(m, now, Freed::new_session);
     // A session's lease runs from its beginning, with no report answered: seen through a push, it may have
     // begun just now, and what we start in it lives that long. Before a machine is accounted for we start
     // nothing, and its former holder knew no session that began after it.
@@ -249,7 +249,8 @@
     auto p = m.tasks.find(key);
     if (p != m.tasks.end() && p->second.attempt != t.attempt) {
       // The machine holds another attempt than the one we meant: what it holds is the truth.
-      if (p->second.phase == Phase::assigned || t.attempt > p->second.attempt) picture_.drop(m, p, now, true);
+      if (p->second.phase == Phase::assigned || t.attempt > p->second.attempt)
+        picture_.drop(m, p, now, Freed::replaced);
       p = m.tasks.find(key);
     }
     seen.insert(key);
@@ -283,7 +284,7 @@
       gone = x.by_push ? x.fence != 0 && r.token >= x.fence : own_report && r.seq > x.answer_seq;
       unheard |= gone && !x.by_push && x.answer_seq != 0;
     }
-    if (gone) picture_.drop(m, here, now, true);
+    if (gone) picture_.drop(m, here, now, x.fence != 0 ? Freed::fenced : Freed::not_listed);
   }
   if (unheard) doubt(m, now, "an answer did not arrive");
   if (!m.accounted && r.token >= floor(m)) {
@@ -313,7 +314,8 @@
       // Meant for another machine and not sent yet: what runs stays, or the task would run twice.
       Machine& other = *a->second;
       auto q = other.tasks.find({t.job, t.index});
-      if (q != other.tasks.end() && q->second.phase == Phase::assigned) picture_.drop(other, q, now, true);
+      if (q != other.tasks.end() && q->second.phase == Phase::assigned)
+        picture_.drop(other, q, now, Freed::runs_elsewhere);
     }
     if (!j.cancelled && !j.finished && !j.done.test(t.index) && !j.active.contains(t.index)) {
       p.job = &j;
@@ -349,7 +351,7 @@
     if (surely_recorded(*j, t.index) || j->finished || j->cancelled)
       m.forgets.push_back({Order::Verb::forget, t.job, t.index, t.attempt, 0});
     // With its last task a job that is over goes from the picture, and `j` with it.
-    if (ours) picture_.drop(m, p, now, false);
+    if (ours) picture_.drop(m, p, now, Freed::done);
     it = picture_.jobs.find(t.job);
     if (it == picture_.jobs.end()) return;
     // An attempt of it elsewhere has nothing left to do.
@@ -358,7 +360,7 @@
       auto q = other.tasks.find({t.job, t.index});
       if (q != other.tasks.end()) {
         if (q->second.phase == Phase::assigned)
-          picture_.drop(other, q, now, false);
+          picture_.drop(other, q, now, Freed::done);
         else
           picture_.halt(q->second, 0);
       }
@@ -373,7 +375,7 @@
     if (t.cause == Cause::unknown && j) j->not_before = now + 2 * kSecond;
     spdlog::debug("exited {}/{} try {} on {} cause {}", t.job, t.index, t.attempt, m.record.id,
                   static_cast<int>(t.cause));
-    picture_.drop(m, p, now, true);
+    picture_.drop(m, p, now, Freed::exited);
   }
   if (t.cause == Cause::done && !j && lookup_(t.job) == nullptr)
     return;  // a job not known yet: keep its result
@@ -424,9 +426,10 @@
   }
 }
 
-void Holder::lapse(Machine& m, Micros now, const char* why) {
-  if (!m.tasks.empty()) spdlog::info("machine {}: {} tasks gone ({})", m.record.id, m.tasks.size(), why);
-  while (!m.tasks.empty()) picture_.drop(m, m.tasks.begin(), now, true);
+void Holder::lapse(Machine& m, Micros now, Freed why) {
+  if (!m.tasks.empty())
+    spdlog::info("machine {}: {} tasks gone ({})", m.record.id, m.tasks.size(), place::to_string(why));
+  while (!m.tasks.empty()) picture_.drop(m, m.tasks.begin(), now, why);
   m.forgets.clear();
 }
 
@@ -439,12 +442,30 @@
   picture_.to_order.insert(&m);  // to be asked at once
   for (auto it = m.tasks.begin(); it != m.tasks.end();) {
     auto here = it++;
-    if (here->second.phase == Phase::assigned) picture_.drop(m, here, now, true);
+    if (here->second.phase == Phase::assigned) picture_.drop(m, here, now, Freed::never_sent);
   }
 }
 
 // ---------------------------------------------------------------- orders
 
+/// The last look before an order to start leaves. What would break an invariant is refused and not tried
+/// again.
+bool Holder::start_allowed(Machine& m, std::map<TaskKey, Placed>::iterator at, bool lease_valid, Micros now) {
+  using place::Invariant;
+  using place::StartRefusal;
+  const StartRefusal why = place::start_refusal(picture_, m, at->second, lease_valid);
+  if (why == StartRefusal::none) return true;
+  if (why == StartRefusal::lease_not_valid || why == StartRefusal::machine_not_accounted) return false;
+  const Placed& p = at->second;
+  const auto which =
+      why == StartRefusal::other_attempt ? Invariant::one_attempt_of_a_task : Invariant::done_is_final;
+  place::violated(which, p.job_id + "/" + std::to_string(p.index) + " try " + std::to_string(p.attempt) +
+                             " on " + m.record.id + ", epoch " + std::to_string(epoch_) + ": " +
+                             std::string(place::to_string(why)));
+  picture_.drop(m, at, now, Freed::refused);
+  return false;
+}
+
 std::vector<Order> Holder::take_orders(Machine& m, bool by_push, std::uint64_t answer_seq, bool may_start,
                                        Micros now) {
   std::vector<Order> out;
@@ -454,20 +475,22 @@
     Placed& p = here->second;
     if (p.halting) {
       if (p.phase == Phase::assigned) {
-        picture_.drop(m, here, now, true);
+        picture_.drop(m, here, now, Freed::never_sent);
       } else if (!by_push || now - p.halt_sent >= kRepeatHalt) {
         p.halt_sent = now;
         out.push_back({Order::Verb::halt, p.job_id, p.index, p.attempt, p.grace});
       }
       continue;
     }
-    if (p.phase != Phase::assigned || !may_start || !m.accounted) continue;
+    if (p.phase != Phase::assigned || !start_allowed(m, here, may_start, now)) continue;
     p.phase = Phase::sent;
     p.by_push = by_push;
     p.answer_seq = answer_seq;
     p.started = now;
     launches = true;
     out.push_back({Order::Verb::launch, p.job_id, p.index, p.attempt, 0});
+    spdlog::debug("start {}/{} try {} on {} session {} token {} by {}", p.job_id, p.index, p.attempt,
+                  m.record.id, m.session, token(m), by_push ? "push" : "answer");
   }
   // Room first: halts and forgets go before launches.
   std::stable_partition(out.begin(), out.end(), [](const Order& o) { return o.verb != Order::Verb::launch; });
@@ -526,7 +549,7 @@
       Placed& x = here->second;
       if (x.phase != Phase::sent || !x.by_push || x.fence != 0) continue;
       if (status == 409)
-        picture_.drop(m, here, now, true);  // nothing was executed
+        picture_.drop(m, here, now, Freed::push_refused);  // nothing was executed
       else
         x.by_push = false, x.answer_seq = 0;  // executed: the next newer report shows it
     }
@@ -580,7 +603,7 @@
   for (Machine* at : picture_.all) {
     Machine& m = *at;
     if (now >= m.lapse_at && (m.up || !m.accounted)) {
-      lapse(m, now, "lease lapsed");
+      lapse(m, now, Freed::lease_expired);
       m.up = false;
       m.accounted = true;
       picture_.gained();
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -4,6 +4,7 @@
 // Invariant: a task is placed only when every machine that could hold it is accounted for: by a report under
 // our token, or by a worker lease that has surely lapsed since the last moment anyone could have renewed it.
 #pragma once
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -150,6 +151,8 @@
   std::uint64_t attempts() const { return placer_.attempts(); }
   /// The share is held on under a higher epoch, recorded as ours without a moment in between.
   void raise_epoch(std::uint64_t epoch);
+  /// Attempts that counted as gone since the share was taken, by reason.
+  const std::array<std::uint64_t, place::kFreedReasons>& freed() const { return picture_.freed; }
   const place::Rnn& rnn() const { return placer_.rnn(); }
   int share() const { return settings_.share; }
   std::size_t waiting() const;
@@ -164,6 +167,7 @@
   using Job = place::Job;
   using Phase = place::Phase;
   using Placed = place::Placed;
+  using Freed = place::Freed;
   using TaskKey = place::TaskKey;
 
   /// How a worker's own report relates to what is known of the machine.
@@ -175,7 +179,7 @@
   static ReportOrder order_of(const Machine& m, const wire::WorkerReport& r);
   std::uint64_t token(const Machine& m) const;
   bool apply(Machine& m, const wire::WorkerReport& r, bool own_report, Micros now);
-  void lapse(Machine& m, Micros now, const char* why);
+  void lapse(Machine& m, Micros now, Freed why);
   void doubt(Machine& m, Micros now, const char* why);
   void task_done(Job& j, Machine& m, const Placed& p, Micros now);
   void task_failed(Job& j, Machine& m, Micros now);
@@ -183,6 +187,7 @@
   void task_exited(Machine& m, const wire::TaskReport& t, Micros now);
   Micros surely_lapsed(Micros answered) const;
   std::uint64_t floor(const Machine& m) const;
+  bool start_allowed(Machine& m, std::map<TaskKey, Placed>::iterator at, bool lease_valid, Micros now);
   std::vector<Order> take_orders(Machine& m, bool by_push, std::uint64_t answer_seq, bool may_start,
                                  Micros now);
   void check_rebuilt(Micros now);
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -211,6 +211,8 @@
          if (!ok) return loop_.later(300 * kMillisecond, [this] { read_all(); });
          watch_revision_ = revision;
          watched_as_of_ = sent;
+         spdlog::info("state service: all {} keys under {} read in {:.2f} s, as of revision {} or later",
+                      rows.size(), watch_prefix_, to_seconds(loop_.now() - sent), revision);
          watcher_.reset(std::move(rows));
          follow();
        });
@@ -223,12 +225,18 @@
   // Not through send(): an open watch that waits says nothing of the service's health.
   http_.request(net::Method::get, state_, path, "", kHold + 2 * kSecond,
                 [this, sent = loop_.now()](int status, const std::string& body) {
-                  if (status == 410) return read_all();
+                  if (status == 410) {
+                    spdlog::info("state service: changes after revision {} are lost, all keys are read again",
+                                 watch_revision_);
+                    return read_all();
+                  }
                   if (status != 200) return loop_.later(250 * kMillisecond, [this] { follow(); });
                   try {
                     wire::Page page = wire::parse_changes(body);
                     watch_revision_ = std::max(watch_revision_, page.revision);
                     watched_as_of_ = sent;
+                    spdlog::debug("state service: {} changes up to revision {}, asked {:.2f} s ago",
+                                  page.rows.size(), watch_revision_, to_seconds(loop_.now() - sent));
                     if (!page.rows.empty()) watcher_.changed(std::move(page.rows));
                   } catch (const std::exception& e) {
                     spdlog::error("state service: watch: {}", e.what());
--- /dev/null
+++ b/tests/invariant_test.cpp
@@ -0,0 +1,103 @@
+// The invariants that are checked at run time: in tests a violation aborts, and each of these tests brings
+// one about.
+#include <gtest/gtest.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include "fixtures.h"
+#include "place/decision.h"
+#include "place/picture.h"
+
+namespace aspenwick::place {
+namespace {
+
+/// For all tests of the program.
+class AbortOnViolation : public ::testing::Environment {
+ public:
+  void SetUp() override { abort_on_violation(true); }
+};
+const auto* const registered = ::testing::AddGlobalTestEnvironment(new AbortOnViolation);
+
+/// One job of two tasks, the first of which is assigned to a machine that is accounted for.
+struct DecisionTest : ::testing::Test {
+  DecisionTest() {
+    MachineRecord record;
+    record.id = "i-1";
+    machine = &picture.join(record);
+    record.id = "i-2";
+    other = &picture.join(record);
+    machine->accounted = other->accounted = true;
+    auto owned = std::make_unique<Job>();
+    auto spec = wire::job_from_json(testing::job_json());
+    owned->spec = std::make_shared<JobSpec>(spec);
+    owned->id = "j-1";
+    owned->done = DoneSet(spec.tasks);
+    job = owned.get();
+    picture.jobs.emplace("j-1", std::move(owned));
+    add(*machine, 1);
+  }
+  void add(Machine& m, std::uint64_t attempt) {
+    Placed p;
+    p.job = job;
+    p.job_id = job->id;
+    p.attempt = attempt;
+    picture.add(m, p);
+  }
+  StartRefusal refusal(bool lease_valid = true) {
+    return start_refusal(picture, *machine, machine->tasks.at({"j-1", 0}), lease_valid);
+  }
+  Picture picture;
+  Machine* machine = nullptr;
+  Machine* other = nullptr;
+  Job* job = nullptr;
+};
+
+TEST_F(DecisionTest, AnAssignedAttemptOfAnOpenJobMayStart) { EXPECT_EQ(refusal(), StartRefusal::none); }
+
+TEST_F(DecisionTest, NothingStartsWithoutAValidLease) {
+  EXPECT_EQ(refusal(false), StartRefusal::lease_not_valid);
+}
+
+TEST_F(DecisionTest, NothingStartsOnAMachineThatIsNotAccountedFor) {
+  machine->accounted = false;
+  EXPECT_EQ(refusal(), StartRefusal::machine_not_accounted);
+}
+
+TEST_F(DecisionTest, NothingStartsOfAJobThatIsOver) {
+  job->cancelled = true;
+  EXPECT_EQ(refusal(), StartRefusal::job_over);
+}
+
+TEST_F(DecisionTest, NothingStartsOfATaskThatIsDone) {
+  job->done.set(0);
+  EXPECT_EQ(refusal(), StartRefusal::task_done);
+}
+
+TEST_F(DecisionTest, NothingStartsWhileACopyOfTheTaskIsOnAnotherMachine) {
+  picture.strays[{"j-1", 0}] = 1;
+  EXPECT_EQ(refusal(), StartRefusal::other_attempt);
+}
+
+TEST_F(DecisionTest, NothingStartsWhereTheJobsAttemptIsOnAnotherMachine) {
+  job->active[0] = other;
+  EXPECT_EQ(refusal(), StartRefusal::other_attempt);
+}
+
+TEST_F(DecisionTest, ASecondAttemptOfATaskOnAnotherMachineAborts) {
+  auto start_a_second = [this] {
+    spdlog::set_default_logger(spdlog::stderr_logger_mt("violation"));
+    add(*other, 2);
+  };
+  EXPECT_DEATH(start_a_second(), "one attempt of a task: j-1/0 on i-2 and on i-1");
+}
+
+TEST_F(DecisionTest, AViolationInProductionIsCountedAndTheProcessGoesOn) {
+  abort_on_violation(false);
+  const auto before = violations();
+  violated(Invariant::epochs_rise, "share 0: epoch 1 after 2");
+  abort_on_violation(true);
+  EXPECT_EQ(violations()[2], before[2] + 1);
+}
+
+}  // namespace
+}  // namespace aspenwick::place
