--- a/src/app/keeper.cpp
+++ b/src/app/keeper.cpp
@@ -37,16 +37,10 @@
   if (key.starts_with(kHolder)) {
     const int share = std::stoi(key.substr(kHolder.size()));
     if (share < 0 || share >= own_.shares()) return;
-    const HolderKey* known = own_.holder(share);
-    if (known && (row.removed || known->version != row.version)) {
-      former_[share] = {known->node, known->lease};
-      if (gap_) former_.erase(share);  // others may have held it since
-    }
-    if (row.removed)
-      own_.holder_removed(share, needs_.loop.now());
-    else
-      own_.holder_set(share, share::holder_from_json(row.value, row.version)),
-          end_if_former(*own_.holder(share));
+    const Micros now = needs_.loop.now();
+    if (row.removed) return own_.holder_removed(share, now);
+    own_.holder_set(share, share::holder_from_json(row.value, row.version), now);
+    end_if_former(*own_.holder(share));
   } else if (key == kLeader) {
     if (row.removed)
       own_.leader_removed(needs_.loop.now());
@@ -107,12 +101,13 @@
       spdlog::info("share {}: goes on with epoch {}", it->first, key->epoch);
       held.epoch = key->epoch, held.key_version = key->version, held.raising = 0;
       held.holder->raise_epoch(key->epoch);
+      last_epochs_[it->first] = std::max(last_epochs_[it->first], key->epoch);
     }
     if (own_.ours(key) && key->epoch == held.epoch) {
       ++it;
       continue;
     }
-    spdlog::info("share {}: no longer held", it->first);
+    spdlog::info("share {}: no longer held with epoch {}: {}", it->first, held.epoch, why_not_held(key));
     it = held_.erase(it);
   }
   for (int s = 0; s < own_.shares() && !records().types().empty(); ++s)
@@ -140,13 +135,25 @@
   }
 }
 
+std::string Keeper::why_not_held(const HolderKey* key) const {
+  if (!own_.lease()) return "our lease has ended";
+  if (!key) return "its key is gone";
+  return "its key is " + key->node + "'s with epoch " + std::to_string(key->epoch) + " at revision " +
+         std::to_string(key->version);
+}
+
 void Keeper::make_holder(int s, const HolderKey& key) {
+  std::uint64_t& last = last_epochs_[s];
+  if (key.epoch < last)
+    return place::violated(place::Invariant::epochs_rise, "share " + std::to_string(s) + ": epoch " +
+                                                              std::to_string(key.epoch) + " after " +
+                                                              std::to_string(last));
+  last = key.epoch;
   Held& held = held_[s];
   held.epoch = key.epoch;
   held.key_version = held.taken_version = key.version;
   held.made = ++made_;
   held.loading = true;
-  const auto former = former_.contains(s) ? former_[s] : std::pair<std::string, std::uint64_t>{};
   share::HolderSettings hs;
   hs.share = s;
   hs.rnn = settings_.rnn;
@@ -155,8 +162,10 @@
   const Micros now = needs_.loop.now();
   held.holder = std::make_unique<share::Holder>(
       platform_, records().types(), hs, [this](const std::string& id) { return records().job(id); },
-      held.epoch, now, own_.renewable_until(former.first, former.second, now));
-  spdlog::info("share {}: held with epoch {}", s, held.epoch);
+      held.epoch, now, own_.renewable_until(s, now));
+  spdlog::info(
+      "share {}: held with epoch {}, lease {}, key at revision {}; former owners may renew for {:.1f} s", s,
+      held.epoch, key.lease, key.version, to_seconds(own_.renewable_until(s, now) - now));
   for (const auto& [id, record] : records().jobs())
     if (!record.final()) job_seen(id, record);
 }
@@ -222,7 +231,7 @@
     if (code == 200) {
       own_.lease_renewed(sent);
     } else if (code == 404) {
-      spdlog::info("our lease has ended");
+      spdlog::info("our lease {} has ended", lease);
       own_.lease_lost();
       sync();
       own_lease();
@@ -313,7 +322,7 @@
       [this, s, made = held.made, mine = HolderKey(mine)](int code, std::uint64_t revision) mutable {
         if (code != 200 || !find(s, made)) return;
         mine.version = revision;
-        own_.holder_set(s, mine);
+        own_.holder_set(s, mine, needs_.loop.now());
         sync();
       });
 }
--- a/src/place/picture.h
+++ b/src/place/picture.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "job/record.h"
+#include "place/decision.h"
 #include "place/hearing.h"
 #include "wire/wire.h"
 
@@ -113,6 +114,7 @@
   std::map<TaskKey, Placed> tasks;
   std::vector<Order> forgets;
   std::uint64_t session = 0, seq = 0, seen_token = 0, bump = 0;
+  std::uint64_t report_seq = 0;  // of the worker's newest own report in this session; 0: none
   Micros idle_since = 0, last_report = 0, push_again = 0;
   int pushes_lost = 0;             // in a row
   std::uint64_t launch_token = 0;  // under which starts were pushed last
@@ -195,9 +197,10 @@
   std::map<TaskKey, int> strays;
   std::set<Machine*, ById> to_order;  // may have orders to be pushed, or is to be asked for a report
   std::uint64_t changes = 1;          // counts whatever may change what could be stopped or placed
+  std::array<std::uint64_t, kFreedReasons> freed{};  // attempts, by reason
 
-  /// The attempt is surely gone from the machine; `again`: its task should run again.
-  void drop(Machine& m, std::map<TaskKey, Placed>::iterator it, Micros now, bool again);
+  /// The attempt is surely gone from the machine; the reason tells whether its task is to run again.
+  void drop(Machine& m, std::map<TaskKey, Placed>::iterator it, Micros now, Freed why);
   void add(Machine& m, Placed p);
   void halt(Placed& p, Micros grace);
   /// There may be room that was not there: on machines of this type, or anywhere.
