--- a/tests/ran_twice_test.cpp
+++ b/tests/ran_twice_test.cpp
@@ -82,5 +82,56 @@
   EXPECT_EQ(world.starts["j-2/0"], 2);
 }
 
+// The changes that a node missed are too many, and it reads all keys again, in pages. A machine that it
+// records meanwhile as the leader is on none of the pages read before: it was not removed.
+TEST_F(RanTwiceTest, AMachineRecordedWhileAllKeysAreReadAgainIsNotTakenForRemoved) {
+  for (Micros read_after = 0; read_after < 7 * kSecond; read_after += kSecond / 2) {
+    SCOPED_TRACE(to_seconds(read_after));
+    SmallWorld w;
+    w.push_lost = 0;
+    w.engine.run_for(20 * kSecond);
+    ASSERT_EQ(w.store.keys.at("s/leader").value.at("node"), "a");
+    auto submit = [&w](const std::string& id) {
+      auto submission = job(id, 24);
+      submission["owner"] = "cards";
+      ASSERT_EQ(w.ask("a", Method::post, "/v1/jobs", submission).status, 201);
+    };
+    w.run_time = 18 * kSecond;  // makes room on other machines once the new ones have their tasks
+    submit("j-1");
+    w.engine.run_for(18 * kSecond);
+    w.run_time = kLongRun;
+    w.watch_stalls = {"a"};
+    submit("j-2");
+    w.engine.run_for(read_after);
+    w.store.rows_in_page = 4;
+    w.store.page_takes = kSecond;  // as if there were very many pages
+    w.store.forget_changes();
+    w.watch_stalls.clear();
+    w.engine.run_for(20 * kSecond);
+    w.store.page_takes = 0;
+    w.engine.run_for(60 * kSecond);
+    EXPECT_EQ(w.ran_twice, 0) << w.first_twice;
+    EXPECT_EQ(w.starts.size(), 48U);
+    for (const auto& [task, starts] : w.starts) EXPECT_EQ(starts, 1) << task;
+  }
+}
+
+// A machine leaves its share with results that only it and the share's owner know. Its next owner does not
+// know whether they are recorded, and may not have them forgotten.
+TEST_F(RanTwiceTest, ResultsThatAreNotRecordedYetOutliveAMachinesChangeOfShare) {
+  world.push_lost = 0;
+  world.commit_lost = [](const std::string& body) { return body.find("\"p/") != std::string::npos; };
+  world.engine.run_for(20 * kSecond);
+  world.run_spread = 200 * kSecond;
+  submit_for_node_a("j-1", 48);
+  world.engine.run_for(190 * kSecond);
+  const auto results = world.completed;
+  ASSERT_GT(results.size(), 3U);
+  ASSERT_LT(results.size(), 48U);
+  world.crash("a");
+  world.engine.run_for(100 * kSecond);
+  for (const auto& task : results) EXPECT_EQ(world.starts[task], 1) << task;
+}
+
 }  // namespace
 }  // namespace aspenwick::testing
