--- a/src/fleet/renter.cpp
+++ b/src/fleet/renter.cpp
@@ -146,7 +146,7 @@
   return n;
 }
 
-// ---------------------------------------------------------------- the picture
+// ---------------------------------------------------------------- the view
 
 void Renter::condemn_lost(Plan& plan, const std::map<std::string, MachineRecord>& records) {
   Delete gone;
--- a/src/place/picture.cpp
+++ b/src/place/cluster_view.cpp
@@ -1,4 +1,4 @@
-#include "place/picture.h"
+#include "place/cluster_view.h"
 
 #include <spdlog/spdlog.h>
 
@@ -36,7 +36,7 @@
 }
 
 /// The only way in for an attempt: its room is taken, its job and team know of it.
-void Picture::add(Machine& m, Placed p) {
+void ClusterView::add(Machine& m, Placed p) {
   TaskKey key{p.job_id, p.index};
   p.on = &m;
   m.free -= p.need;
@@ -60,7 +60,7 @@
   m.tasks.emplace(std::move(key), std::move(p));
 }
 
-void Picture::drop(Machine& m, std::map<TaskKey, Placed>::iterator it, Micros now, Freed why) {
+void ClusterView::drop(Machine& m, std::map<TaskKey, Placed>::iterator it, Micros now, Freed why) {
   const Placed p = std::move(it->second);
   ++freed.at(static_cast<std::size_t>(why));
   spdlog::debug("freed {}/{} try {} on {} session {} token {}: {}", p.job_id, p.index, p.attempt, m.record.id,
@@ -92,7 +92,7 @@
   if (j->spec->shape == Shape::gang && !j->active.empty() && p.attempt == j->gang_attempt) end_attempt(*j);
 }
 
-void Picture::halt(Placed& p, Micros grace) {
+void ClusterView::halt(Placed& p, Micros grace) {
   if (p.halting && grace >= p.grace) return;
   p.halting = true;
   p.grace = grace;
@@ -103,7 +103,7 @@
   to_order.insert(p.on);
 }
 
-void Picture::stop_gang(Job& j, Micros grace) {
+void ClusterView::stop_gang(Job& j, Micros grace) {
   for (const auto& [index, machine] : j.active)
     if (auto p = machine->tasks.find({j.id, index}); p != machine->tasks.end()) halt(p->second, grace);
 }
@@ -111,7 +111,7 @@
 /// Those still fetching when the others had waited for too long go on until they have the image, and are
 /// stopped then: a fetch that nobody waits for is given up, and the next attempt would fail the same way, for
 /// ever where an image takes longer than a gang waits.
-void Picture::end_attempt(Job& j) {
+void ClusterView::end_attempt(Job& j) {
   for (const auto& [index, machine] : j.active) {
     auto p = machine->tasks.find({j.id, index});
     if (p == machine->tasks.end()) continue;
@@ -120,19 +120,19 @@
   }
 }
 
-void Picture::erase_if_over(const std::string& id) {
+void ClusterView::erase_if_over(const std::string& id) {
   auto it = jobs.find(id);
   if (it != jobs.end() && (it->second->cancelled || it->second->finished) && it->second->active.empty())
     jobs.erase(it);
 }
 
-void Picture::gained(const Machine& m) {
+void ClusterView::gained(const Machine& m) {
   if (gains_of_.size() <= m.type_index) gains_of_.resize(m.type_index + 1);
   ++gains_of_[m.type_index];
   ++changes;
 }
 
-std::uint64_t Picture::gains_for(const Kind& kind) const {
+std::uint64_t ClusterView::gains_for(const Kind& kind) const {
   std::uint64_t sum = gains_;
   for (std::size_t t = 0; t < gains_of_.size() && t < kind.types.size(); ++t)
     if (kind.types[t]) sum += gains_of_[t];
@@ -140,7 +140,7 @@
 }
 
 /// New, or known with another record.
-Machine& Picture::join(const MachineRecord& record) {
+Machine& ClusterView::join(const MachineRecord& record) {
   auto [it, added] = machines.try_emplace(record.id);
   Machine& m = it->second;
   m.record = record;
@@ -153,20 +153,20 @@
   return m;
 }
 
-void Picture::leave(std::map<std::string, Machine>::iterator it) {
+void ClusterView::leave(std::map<std::string, Machine>::iterator it) {
   to_order.erase(&it->second);
   std::erase(all, &it->second);
   machines.erase(it);
 }
 
-int Picture::zone(const std::string& name) {
+int ClusterView::zone(const std::string& name) {
   const auto it = std::find(zones_.begin(), zones_.end(), name);
   if (it == zones_.end()) zones_.push_back(name);
   return static_cast<int>(std::find(zones_.begin(), zones_.end(), name) - zones_.begin());
 }
 
-std::shared_ptr<std::pair<const Kind, Tried>> Picture::kind_of(const JobSpec& spec,
-                                                               const std::vector<wire::MachineType>& types) {
+std::shared_ptr<std::pair<const Kind, Tried>> ClusterView::kind_of(
+    const JobSpec& spec, const std::vector<wire::MachineType>& types) {
   Kind kind{spec.need.gpus > 0,
             std::vector<bool>(types.size()),
             spec.zone ? zone(*spec.zone) : -1,
--- a/src/place/picture.h
+++ b/src/place/cluster_view.h
@@ -73,8 +73,8 @@
 };
 /// Of a kind, by rank.
 struct Tried {
-  std::array<InVain, 4> room, cheap_room, gang_room;  // as picture.gains_for counts
-  std::array<InVain, 4> to_stop, gang_to_stop;        // as picture.changes does
+  std::array<InVain, 4> room, cheap_room, gang_room;  // as view.gains_for counts
+  std::array<InVain, 4> to_stop, gang_to_stop;        // as view.changes does
 };
 
 /// An attempt of a task that is, or may be, on a machine.
@@ -102,7 +102,7 @@
   Resources free;
   const wire::MachineType* type = nullptr;
   std::size_t type_index = 0;
-  int zone = 0;              // see Picture::zone
+  int zone = 0;              // see ClusterView::zone
   std::uint32_t neuron = 0;  // of the learner
   bool up = false, accounted = false, leaving = false, pushing = false, handed_empty = false;
   bool spot = false;                      // as in the record
@@ -157,7 +157,7 @@
   std::map<std::uint32_t, std::uint64_t> row_versions;
   std::set<std::uint32_t> dirty, in_flight;  // units with unrecorded results; rows being written
   std::map<std::uint32_t, Machine*> active;  // task -> machine
-  std::vector<int> in_zone;                  // of these, by Picture::zone
+  std::vector<int> in_zone;                  // of these, by ClusterView::zone
   std::set<std::uint32_t> again;
   std::uint32_t cursor = 0;
   double run_sum = 0;
@@ -183,7 +183,7 @@
   }
 };
 
-struct Picture {
+struct ClusterView {
   struct ById {
     bool operator()(const Machine* a, const Machine* b) const { return a->record.id < b->record.id; }
   };
@@ -214,7 +214,7 @@
   /// The rest of an attempt that has lost a task.
   void end_attempt(Job& j);
   void erase_if_over(const std::string& id);
-  /// A small number for a zone's name, the same while the picture lasts.
+  /// A small number for a zone's name, the same while the view lasts.
   int zone(const std::string& name);
   std::shared_ptr<std::pair<const Kind, Tried>> kind_of(const JobSpec& spec,
                                                         const std::vector<wire::MachineType>& types);
--- a/src/place/decision.cpp
+++ b/src/place/decision.cpp
@@ -4,7 +4,7 @@
 
 #include <cstdlib>
 
-#include "place/picture.h"
+#include "place/cluster_view.h"
 
 namespace aspenwick::place {
 namespace {
@@ -64,7 +64,7 @@
   return "unknown";
 }
 
-StartRefusal start_refusal(const Picture& picture, const Machine& machine, const Placed& attempt,
+StartRefusal start_refusal(const ClusterView& view, const Machine& machine, const Placed& attempt,
                            bool lease_valid) {
   if (!lease_valid) return StartRefusal::lease_not_valid;
   if (!machine.accounted) return StartRefusal::machine_not_accounted;
@@ -73,7 +73,7 @@
   if (job->done.test(attempt.index)) return StartRefusal::task_done;
   const auto active = job->active.find(attempt.index);
   const bool is_the_active_one = active != job->active.end() && active->second == &machine;
-  if (!is_the_active_one || picture.strays.contains({attempt.job_id, attempt.index}))
+  if (!is_the_active_one || view.strays.contains({attempt.job_id, attempt.index}))
     return StartRefusal::other_attempt;
   return StartRefusal::none;
 }
--- a/src/place/decision.h
+++ b/src/place/decision.h
@@ -11,7 +11,7 @@
 namespace aspenwick::place {
 
 struct Machine;
-struct Picture;
+struct ClusterView;
 struct Placed;
 
 /// Why an attempt counts as gone from its machine.
@@ -48,7 +48,7 @@
 };
 std::string_view to_string(StartRefusal why);
 /// Judged just before an order leaves. `lease_valid`: our lease with the state service surely is.
-StartRefusal start_refusal(const Picture& picture, const Machine& machine, const Placed& attempt,
+StartRefusal start_refusal(const ClusterView& view, const Machine& machine, const Placed& attempt,
                            bool lease_valid);
 
 /// What must hold whatever happens.
--- a/src/place/placer.cpp
+++ b/src/place/placer.cpp
@@ -109,7 +109,7 @@
 std::vector<Job*> Placer::ordered_jobs(Micros now) const {
   using Aim = Waiting::Aim;
   std::vector<Waiting> list;
-  for (auto& [id, j] : picture_.jobs) {
+  for (auto& [id, j] : view_.jobs) {
     if (j->cancelled || j->finished || j->waiting() == 0) continue;
     list.push_back({j.get(), rank_now(*j, now), quota_.within_guarantee(*j), Aim::deadline, slack(*j, now),
                     j->waiting() * run_time(*j)});
@@ -117,7 +117,7 @@
     if (j->finish_by && *j->finish_by - j->spec->estimate < now) aim_lower(list.back(), now);
   }
   double low_slots = 0;
-  for (const auto& [id, j] : picture_.jobs)
+  for (const auto& [id, j] : view_.jobs)
     if (j->rank == Rank::low && j->spec->shape == Shape::array)
       low_slots += static_cast<double>(j->active.size());
   for (int pass = 0; pass < kAimingPasses && low_slots >= 1; ++pass) {
@@ -156,8 +156,8 @@
 
 void Placer::look_for_unseen() {
   unseen_.clear();
-  if (picture_.rebuilt) return;
-  for (const Machine* m : picture_.all)
+  if (view_.rebuilt) return;
+  for (const Machine* m : view_.all)
     if (!m->accounted && !m->handed_empty) unseen_.insert({m->type, m->type_index, m->zone, m->spot});
 }
 
@@ -175,7 +175,7 @@
 /// one lost spot machine kept production of its share waiting for 15 s.
 bool Placer::place_allowed(const Job& j) const {
   if (j.committing) return false;
-  if (picture_.rebuilt) return true;
+  if (view_.rebuilt) return true;
   // Unseen tasks may use up the team's limit.
   const wire::Team* t = quota_.team(j.spec->team);
   if (!t) return false;
@@ -285,7 +285,7 @@
   };
   std::vector<Found> found;
   fit.tier = 9;
-  for (Machine* at : picture_.all) {
+  for (Machine* at : view_.all) {
     Machine& m = *at;
     if (!j.spec->need.fits_in(m.free) || !machine_allowed(j, m, now) || !fits(j, m, m.free)) continue;
     if ((fit.zone >= 0 && m.zone != fit.zone) || !zone_open(j, m)) continue;
@@ -314,7 +314,7 @@
                        Fit& fit) {
   if (!quota_.within_limit(j, 1)) return false;
   // An old attempt is still somewhere.
-  if (!picture_.strays.empty() && picture_.strays.contains({j.id, index})) return false;
+  if (!view_.strays.empty() && view_.strays.contains({j.id, index})) return false;
   if (fit.machines.empty()) {
     // In vain for all jobs alike, until there is more room. Zones and machines that one job avoids are its
     // own.
@@ -322,7 +322,7 @@
                        fit.least_warmth == 0 && !j.any_room;
     auto& room = j.kind->second.room[static_cast<std::size_t>(j.rank)];
     auto& cheap = j.kind->second.cheap_room[static_cast<std::size_t>(j.rank)];
-    const auto gains = picture_.gains_for(j.kind->first);
+    const auto gains = view_.gains_for(j.kind->first);
     const bool in_vain = room.holds(gains, j.spec->need) || (cheap_only && cheap.holds(gains, j.spec->need));
     if (in_vain && !j.any_room) return false;
     find_fit(j, fit, now);
@@ -345,7 +345,7 @@
   p.need = j.spec->need;
   p.team = j.spec->team;
   p.started = now;
-  picture_.add(m, std::move(p));
+  view_.add(m, std::move(p));
   fit.machines.erase(fit.machines.begin() + static_cast<std::ptrdiff_t>(chosen));
   fit.neurons.erase(fit.neurons.begin() + static_cast<std::ptrdiff_t>(chosen));
   if (fits(j, m, m.free)) fit.insert(&m);
@@ -365,7 +365,7 @@
 std::vector<int> Placer::gang_zones(const Job& j, Micros now,
                                     const std::function<Resources(const Machine&)>& room_of) const {
   std::map<std::string, std::pair<int, std::int64_t>> by_name;
-  for (const Machine* m : picture_.all)
+  for (const Machine* m : view_.all)
     if (machine_allowed(j, *m, now) && (m->spot || j.to_spot_until <= now)) {
       auto& [zone, n] = by_name[j.spec->one_zone ? m->record.zone : ""];
       zone = j.spec->one_zone ? m->zone : -1;
@@ -387,7 +387,7 @@
   if (!j.active.empty() || !quota_.within_limit(j, j.spec->tasks)) return false;
   // In vain for gangs alike that are as large. One that goes to spot machines looks for less than they do.
   auto& tried = j.kind->second.gang_room[static_cast<std::size_t>(j.rank)];
-  const auto gains = picture_.gains_for(j.kind->first);
+  const auto gains = view_.gains_for(j.kind->first);
   if (!j.any_room && tried.holds(gains, j.spec->need, j.spec->tasks)) return false;
   const auto zones = gang_zones(j, now, [&](const Machine& m) {
     return least_warmth == 0 || warmth(j, m) >= least_warmth ? m.free : Resources{};
@@ -410,7 +410,7 @@
     j.gang_attempt = 0;
     const auto active = j.active;
     for (const auto& [index, m] : active)
-      picture_.drop(*m, m->tasks.find({j.id, index}), now, Freed::never_sent);
+      view_.drop(*m, m->tasks.find({j.id, index}), now, Freed::never_sent);
     return false;
   }
   ++attempts_;
@@ -448,14 +448,14 @@
 /// Machines with GPUs cost several times as much when they aren't spot ones. When some of those are left
 /// over, a gang saves, stops and goes on there; its ordinary machines can be given back.
 void Placer::move_to_spot(Micros now) {
-  for (auto& [id, j] : picture_.jobs) {
+  for (auto& [id, j] : view_.jobs) {
     if (!worth_spot(*j, now)) continue;
     const auto zones = gang_zones(*j, now, [](const Machine& m) { return m.spot ? m.free : Resources{}; });
     if (zones.empty()) continue;
     spdlog::info("gang {} goes on on spot machines", j->id);
     j->moved = now;
     j->to_spot_until = now + kMoveTime;
-    picture_.stop_gang(*j, j->spec->save_time);
+    view_.stop_gang(*j, j->spec->save_time);
     return;
   }
 }
@@ -464,7 +464,7 @@
 bool Placer::make_gang_room(Job& j, Micros now, int least_warmth) {
   if (!j.active.empty() || !quota_.within_limit(j, j.spec->tasks)) return false;
   auto& tried = j.kind->second.gang_to_stop[static_cast<std::size_t>(j.rank)];
-  if (tried.holds(picture_.changes, j.spec->need, j.spec->tasks)) return false;
+  if (tried.holds(view_.changes, j.spec->need, j.spec->tasks)) return false;
   auto below = [&](const Placed& p) { return p.job && p.job->rank < j.rank; };
   auto room_of = [&](const Machine& m) {
     if (least_warmth > 0 && warmth(j, m) < least_warmth) return Resources{};
@@ -477,7 +477,7 @@
   const auto zones = gang_zones(j, now, room_of);
   if (zones.empty()) {
     if (j.bad_machines.empty() && j.to_spot_until <= now && least_warmth == 0)
-      tried.note(picture_.changes, j.spec->need, j.spec->tasks);
+      tried.note(view_.changes, j.spec->need, j.spec->tasks);
     return false;
   }
   struct Choice {
@@ -486,7 +486,7 @@
     double loss;
   };
   std::vector<Choice> choices;
-  for (Machine* at : picture_.all) {
+  for (Machine* at : view_.all) {
     Machine& m = *at;
     if (!machine_allowed(j, m, now) || (j.spec->one_zone && m.zone != zones.front())) continue;
     const auto n = slots(j, m, room_of(m));
@@ -507,9 +507,9 @@
       if (slots(j, m, m.free) >= c.slots || p.halting || !below(p)) continue;
       const Micros grace = p.job->spec->checkpoint_every > 0 ? p.job->spec->save_time : 0;
       if (p.job->spec->shape == Shape::gang)
-        picture_.stop_gang(*p.job, grace);
+        view_.stop_gang(*p.job, grace);
       else
-        picture_.halt(p, grace);
+        view_.halt(p, grace);
     }
   }
   return true;
@@ -518,10 +518,10 @@
 Placer::Room Placer::make_room(Job& j, Micros now, int least_warmth) {
   std::int64_t missing = j.waiting();
   // What is unseen counts against the guarantee too: until it is seen nobody borrows.
-  const bool guaranteed = picture_.rebuilt && quota_.within_guarantee(j);
+  const bool guaranteed = view_.rebuilt && quota_.within_guarantee(j);
   if (guaranteed && j.rank < Rank::high) {  // others' work is stopped for the guaranteed part only
     const auto& g = quota_.team(j.spec->team)->guaranteed;
-    const auto& use = picture_.team_use[j.spec->team];
+    const auto& use = view_.team_use[j.spec->team];
     missing = std::min(missing, j.spec->need.gpus > 0 ? (g.gpus - use.gpus) / j.spec->need.gpus
                                                       : (g.cpus - use.cpus) / j.spec->need.cpus);
   }
@@ -529,11 +529,11 @@
   const bool alike =
       !j.spec->spread && !j.spec->one_zone && j.bad_machines.empty() && !guaranteed && least_warmth == 0;
   auto& tried = j.kind->second.to_stop[static_cast<std::size_t>(j.rank)];
-  if (!guaranteed && tried.holds(picture_.changes, j.spec->need)) return Room::none;
+  if (!guaranteed && tried.holds(view_.changes, j.spec->need)) return Room::none;
   Machine* best = nullptr;
   std::vector<Placed*> best_victims;
   double best_loss = 0;
-  for (Machine* at : picture_.all) {
+  for (Machine* at : view_.all) {
     Machine& m = *at;
     const auto& load = m.load();
     const bool can_stop = load.any && (load.lowest < j.rank || guaranteed);
@@ -568,7 +568,7 @@
     if (!best || loss < best_loss) best = &m, best_victims = victims, best_loss = loss;
   }
   if (!best) {
-    if (alike) tried.note(picture_.changes, j.spec->need);
+    if (alike) tried.note(view_.changes, j.spec->need);
     return Room::none;
   }
   best->held_for = j.rank;
@@ -577,9 +577,9 @@
     spdlog::debug("preempt {}/{} on {} for {}", p->job_id, p->index, best->record.id, j.id);
     const Micros grace = p->job->spec->checkpoint_every > 0 ? p->job->spec->save_time : 0;
     if (p->job->spec->shape == Shape::gang)
-      picture_.stop_gang(*p->job, grace);
+      view_.stop_gang(*p->job, grace);
     else
-      picture_.halt(*p, grace);
+      view_.halt(*p, grace);
   }
   return Room::made;
 }
@@ -617,7 +617,7 @@
     // Production rather displaces lower ranks than stay on a dear machine. What is done soon takes dear room
     // that is there anyway: displaced work is lost.
     const bool may_displace =
-        rank_now(*j, now) >= Rank::high || (picture_.rebuilt && quota_.within_guarantee(*j));
+        rank_now(*j, now) >= Rank::high || (view_.rebuilt && quota_.within_guarantee(*j));
     const bool stays = j->rank == Rank::production;
     auto room = [&](int least_warmth) {  // what makes way for it now, or has begun to before
       Room last = Room::made, any = Room::none;
@@ -630,7 +630,7 @@
     const bool coming = room(0) == Room::made;
     if (!coming && stays && !await_plain(*j, now)) place(false);
   }
-  if (picture_.rebuilt) move_to_spot(now);
+  if (view_.rebuilt) move_to_spot(now);
   return attempts_ < stop;  // the last job may have stopped there
 }
 
--- a/src/place/placer.h
+++ b/src/place/placer.h
@@ -1,5 +1,5 @@
 // Which task goes where, and which make way: the order of jobs, the choice of machines by the learner, gangs,
-// preemption. Works on the picture of one share; what it decides is sent by the holder.
+// preemption. Works on the view of one share; what it decides is sent by the holder.
 #pragma once
 #include <functional>
 #include <optional>
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "place/picture.h"
+#include "place/cluster_view.h"
 #include "place/quota.h"
 #include "place/rnn.h"
 
@@ -16,11 +16,11 @@
 class Placer {
  public:
   Placer(const wire::PlatformSettings& platform, const std::vector<wire::MachineType>& types,
-         Picture& picture, RnnSettings rnn, std::uint64_t epoch)
+         ClusterView& view, RnnSettings rnn, std::uint64_t epoch)
       : platform_(platform),
         types_(types),
-        picture_(picture),
-        quota_(platform, picture),
+        view_(view),
+        quota_(platform, view),
         rnn_(rnn),
         epoch_(epoch),
         gpu_wanted_(types.size()) {}
@@ -91,7 +91,7 @@
 
   const wire::PlatformSettings& platform_;
   const std::vector<wire::MachineType>& types_;
-  Picture& picture_;
+  ClusterView& view_;
   Quota quota_;
   Rnn rnn_;
   std::uint64_t epoch_;
--- a/src/place/quota.h
+++ b/src/place/quota.h
@@ -2,15 +2,14 @@
 #pragma once
 #include <string>
 
-#include "place/picture.h"
+#include "place/cluster_view.h"
 #include "wire/settings.h"
 
 namespace aspenwick::place {
 
 class Quota {
  public:
-  Quota(const wire::PlatformSettings& platform, const Picture& picture)
-      : platform_(platform), picture_(picture) {}
+  Quota(const wire::PlatformSettings& platform, const ClusterView& view) : platform_(platform), view_(view) {}
 
   const wire::Team* team(const std::string& name) const;
   bool within_limit(const Job& j, std::uint32_t tasks) const;
@@ -19,7 +18,7 @@
 
  private:
   const wire::PlatformSettings& platform_;
-  const Picture& picture_;
+  const ClusterView& view_;
 };
 
 }  // namespace aspenwick::place
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -61,8 +61,8 @@
       renewable_until_(renewable_until),
       lookup_(std::move(lookup)),
       held_since_(now),
-      placer_(platform, types, picture_, settings.rnn, epoch) {
-  for (const auto& z : platform.zones) zones_.push_back(picture_.zone(z));
+      placer_(platform, types, view_, settings.rnn, epoch) {
+  for (const auto& z : platform.zones) zones_.push_back(view_.zone(z));
 }
 
 Micros Holder::surely_lapsed(Micros answered) const {
@@ -78,16 +78,16 @@
   if (epoch <= epoch_) return;
   epoch_ = epoch;
   placer_.raise_epoch(epoch);
-  picture_.gained();
+  view_.gained();
 }
 
 // ---------------------------------------------------------------- events
 
 void Holder::job_known(const std::string& id, const JobRecord& record, bool fresh, Micros now,
                        Micros time_of_day) {
-  auto it = picture_.jobs.find(id);
+  auto it = view_.jobs.find(id);
   if (record.final()) {
-    if (it == picture_.jobs.end()) return;
+    if (it == view_.jobs.end()) return;
     Job& j = *it->second;
     (record.status == wire::JobStatus::cancelled ? j.cancelled : j.finished) = true;
     const auto active = j.active;  // halting a task not yet sent removes it
@@ -95,21 +95,21 @@
       auto p = m->tasks.find({id, index});
       if (p == m->tasks.end()) continue;
       if (p->second.phase == Phase::assigned)
-        picture_.drop(*m, p, now, Freed::job_over);
+        view_.drop(*m, p, now, Freed::job_over);
       else
-        picture_.halt(p->second, 0);
+        view_.halt(p->second, 0);
     }
-    picture_.erase_if_over(id);
+    view_.erase_if_over(id);
     return;
   }
-  if (it != picture_.jobs.end()) {
+  if (it != view_.jobs.end()) {
     it->second->version = record.version;
     return;
   }
   auto j = std::make_unique<Job>();
   j->spec = record.spec;
   j->id = id;
-  j->kind = picture_.kind_of(*record.spec, types_);
+  j->kind = view_.kind_of(*record.spec, types_);
   j->start_within = kDefaultWait;
   for (const auto& o : platform_.objectives)
     if (o.job_class == record.spec->job_class) {
@@ -126,15 +126,15 @@
   note_gpu_job(*record.spec);
   j->done = DoneSet(record.spec->tasks);
   j->recorded = j->recorded_whole = j->done;
-  picture_.jobs.emplace(id, std::move(j));
-  ++picture_.changes;
+  view_.jobs.emplace(id, std::move(j));
+  ++view_.changes;
 }
 
 void Holder::set_course(const std::string& id, const job::Course& course, Micros now, Micros time_of_day) {
-  auto it = picture_.jobs.find(id);
-  if (it == picture_.jobs.end()) return;
+  auto it = view_.jobs.find(id);
+  if (it == view_.jobs.end()) return;
   Job& j = *it->second;
-  ++picture_.changes;
+  ++view_.changes;
   if (j.rank != course.rank) {
     j.rank = course.rank;
     for (const auto& [index, m] : j.active) m->load_stale = true;
@@ -150,8 +150,8 @@
 }
 
 void Holder::machine_known(const MachineRecord& record, bool handed_empty, Micros now) {
-  const bool added = !picture_.machines.contains(record.id);
-  Machine& m = picture_.join(record);
+  const bool added = !view_.machines.contains(record.id);
+  Machine& m = view_.join(record);
   if (!added) return;
   for (std::size_t i = 0; i < types_.size(); ++i)
     if (types_[i].name == record.type) m.type = &types_[i], m.type_index = i;
@@ -167,11 +167,11 @@
 }
 
 void Holder::machine_gone(const std::string& id, Micros now) {
-  auto it = picture_.machines.find(id);
-  if (it == picture_.machines.end()) return;
+  auto it = view_.machines.find(id);
+  if (it == view_.machines.end()) return;
   lapse(it->second, now, Freed::left_share);
   placer_.rnn().leave(it->second.neuron);
-  picture_.leave(it);
+  view_.leave(it);
   check_rebuilt(now);
 }
 
@@ -187,8 +187,8 @@
 }
 
 std::optional<Holder::Answer> Holder::on_report(const WorkerReport& r, Micros now, bool may_start) {
-  auto it = picture_.machines.find(r.machine);
-  if (it == picture_.machines.end()) return {};
+  auto it = view_.machines.find(r.machine);
+  if (it == view_.machines.end()) return {};
   Machine& m = it->second;
   // A worker that has seen a higher token has another holder: our answer would be dropped.
   if (r.token > token(m)) return {};
@@ -196,7 +196,7 @@
   const ReportOrder order = order_of(m, r);
   if (order == ReportOrder::copy) return Answer{token(m), {}};
   if (order == ReportOrder::newest) {
-    if (m.hearing.shown(r.token, floor(m))) picture_.gained(m);
+    if (m.hearing.shown(r.token, floor(m))) view_.gained(m);
     apply(m, r, true, now);
   }
   m.report_seq = r.seq;
@@ -230,7 +230,7 @@
   m.session = r.session;
   m.seq = r.seq;
   m.seen_token = std::max(m.seen_token, r.token);
-  if (!m.up) picture_.gained(m);
+  if (!m.up) view_.gained(m);
   m.up = true;
   m.last_report = now;
   m.record.address = r.address;
@@ -250,7 +250,7 @@
     if (p != m.tasks.end() && p->second.attempt != t.attempt) {
       // The machine holds another attempt than the one we meant: what it holds is the truth.
       if (p->second.phase == Phase::assigned || t.attempt > p->second.attempt)
-        picture_.drop(m, p, now, Freed::replaced);
+        view_.drop(m, p, now, Freed::replaced);
       p = m.tasks.find(key);
     }
     seen.insert(key);
@@ -270,7 +270,7 @@
     p->second.phase = t.state == TaskState::running ? Phase::running : Phase::present;
     p->second.fetching = t.state == TaskState::fetching;
     if (Job* j = p->second.job; j && j->incomplete == t.attempt && !p->second.fetching)
-      picture_.halt(p->second, 0);  // it has the image now, see Picture::end_attempt
+      view_.halt(p->second, 0);  // it has the image now, see ClusterView::end_attempt
   }
   bool unheard = false;
   for (auto p = m.tasks.begin(); p != m.tasks.end();) {
@@ -284,13 +284,13 @@
       gone = x.by_push ? x.fence != 0 && r.token >= x.fence : own_report && r.seq > x.answer_seq;
       unheard |= gone && !x.by_push && x.answer_seq != 0;
     }
-    if (gone) picture_.drop(m, here, now, x.fence != 0 ? Freed::fenced : Freed::not_listed);
+    if (gone) view_.drop(m, here, now, x.fence != 0 ? Freed::fenced : Freed::not_listed);
   }
   if (unheard) doubt(m, now, "an answer did not arrive");
   if (!m.accounted && r.token >= floor(m)) {
     m.accounted = true;
     m.lapse_at = std::max(m.lapse_at, surely_lapsed(now));  // of this session, as above
-    picture_.gained(m);
+    view_.gained(m);
     check_rebuilt(now);
   }
   return true;
@@ -304,9 +304,9 @@
   p.phase = t.state == TaskState::running ? Phase::running : Phase::present;
   p.fetching = t.state == TaskState::fetching;
   p.started = now;
-  auto it = picture_.jobs.find(t.job);
-  if (it == picture_.jobs.end() && lookup_(t.job) == nullptr) return;  // not known yet: leave it alone
-  if (it != picture_.jobs.end() && t.index < it->second->spec->tasks) {
+  auto it = view_.jobs.find(t.job);
+  if (it == view_.jobs.end() && lookup_(t.job) == nullptr) return;  // not known yet: leave it alone
+  if (it != view_.jobs.end() && t.index < it->second->spec->tasks) {
     Job& j = *it->second;
     p.need = j.spec->need;
     p.team = j.spec->team;
@@ -315,29 +315,29 @@
       Machine& other = *a->second;
       auto q = other.tasks.find({t.job, t.index});
       if (q != other.tasks.end() && q->second.phase == Phase::assigned)
-        picture_.drop(other, q, now, Freed::runs_elsewhere);
+        view_.drop(other, q, now, Freed::runs_elsewhere);
     }
     if (!j.cancelled && !j.finished && !j.done.test(t.index) && !j.active.contains(t.index)) {
       p.job = &j;
       if (t.state != TaskState::fetching) m.used_image(*j.spec);
     } else if (!j.active.contains(t.index)) {
       p.job = &j;  // over, but it must be seen to go
-      picture_.halt(p, 0);
+      view_.halt(p, 0);
     } else {
-      picture_.halt(p, 0);
+      view_.halt(p, 0);
     }
   } else {
     // Another share's, or over. What is over holds its place and counts against its team until it is gone.
     if (const JobRecord* r = lookup_(t.job); r && r->spec) p.need = r->spec->need, p.team = r->spec->team;
-    picture_.halt(p, 0);
+    view_.halt(p, 0);
   }
-  picture_.add(m, std::move(p));
+  view_.add(m, std::move(p));
 }
 
 void Holder::task_exited(Machine& m, const TaskReport& t, Micros now) {
   auto p = m.tasks.find({t.job, t.index});
-  auto it = picture_.jobs.find(t.job);
-  Job* j = it == picture_.jobs.end() ? nullptr : it->second.get();
+  auto it = view_.jobs.find(t.job);
+  Job* j = it == view_.jobs.end() ? nullptr : it->second.get();
   const bool ours = p != m.tasks.end() && p->second.attempt == t.attempt;
   if (t.cause == Cause::done && j && t.index < j->spec->tasks) {
     const bool news = j->done.set(t.index);
@@ -350,22 +350,22 @@
     // The result is forgotten only once it is recorded, or a crash here would lose it.
     if (surely_recorded(*j, t.index) || j->finished || j->cancelled)
       m.forgets.push_back({Order::Verb::forget, t.job, t.index, t.attempt, 0});
-    // With its last task a job that is over goes from the picture, and `j` with it.
-    if (ours) picture_.drop(m, p, now, Freed::done);
-    it = picture_.jobs.find(t.job);
-    if (it == picture_.jobs.end()) return;
+    // With its last task a job that is over goes from the view, and `j` with it.
+    if (ours) view_.drop(m, p, now, Freed::done);
+    it = view_.jobs.find(t.job);
+    if (it == view_.jobs.end()) return;
     // An attempt of it elsewhere has nothing left to do.
     if (auto a = it->second->active.find(t.index); a != it->second->active.end()) {
       Machine& other = *a->second;
       auto q = other.tasks.find({t.job, t.index});
       if (q != other.tasks.end()) {
         if (q->second.phase == Phase::assigned)
-          picture_.drop(other, q, now, Freed::done);
+          view_.drop(other, q, now, Freed::done);
         else
-          picture_.halt(q->second, 0);
+          view_.halt(q->second, 0);
       }
     }
-    picture_.erase_if_over(t.job);
+    view_.erase_if_over(t.job);
     return;
   }
   if (ours) {
@@ -375,7 +375,7 @@
     if (t.cause == Cause::unknown && j) j->not_before = now + 2 * kSecond;
     spdlog::debug("exited {}/{} try {} on {} cause {}", t.job, t.index, t.attempt, m.record.id,
                   static_cast<int>(t.cause));
-    picture_.drop(m, p, now, Freed::exited);
+    view_.drop(m, p, now, Freed::exited);
   }
   if (t.cause == Cause::done && !j && lookup_(t.job) == nullptr)
     return;  // a job not known yet: keep its result
@@ -414,10 +414,10 @@
     // It fails wherever it runs: the job is to blame. It backs off, and the machines are cleared of it.
     j.not_before = now + std::min<Micros>(60 * kSecond, settings_.error_backoff << std::min(j.errors, 5));
     for (const auto& [id, until] : j.bad_machines)
-      if (auto it = picture_.machines.find(id); it != picture_.machines.end()) {
+      if (auto it = view_.machines.find(id); it != view_.machines.end()) {
         it->second.error_jobs.erase(j.id);
         it->second.suspect_until = 0;
-        picture_.gained();
+        view_.gained();
       }
     j.bad_machines.clear();
   } else if (static_cast<int>(m.error_jobs.size()) >= 2) {
@@ -429,7 +429,7 @@
 void Holder::lapse(Machine& m, Micros now, Freed why) {
   if (!m.tasks.empty())
     spdlog::info("machine {}: {} tasks gone ({})", m.record.id, m.tasks.size(), place::to_string(why));
-  while (!m.tasks.empty()) picture_.drop(m, m.tasks.begin(), now, why);
+  while (!m.tasks.empty()) view_.drop(m, m.tasks.begin(), now, why);
   m.forgets.clear();
 }
 
@@ -439,10 +439,10 @@
   ++m.bump;
   if (!m.hearing.in_doubt()) spdlog::debug("machine {} is in doubt: {}", m.record.id, why);
   m.hearing.doubt(token(m), now);
-  picture_.to_order.insert(&m);  // to be asked at once
+  view_.to_order.insert(&m);  // to be asked at once
   for (auto it = m.tasks.begin(); it != m.tasks.end();) {
     auto here = it++;
-    if (here->second.phase == Phase::assigned) picture_.drop(m, here, now, Freed::never_sent);
+    if (here->second.phase == Phase::assigned) view_.drop(m, here, now, Freed::never_sent);
   }
 }
 
@@ -453,7 +453,7 @@
 bool Holder::start_allowed(Machine& m, std::map<TaskKey, Placed>::iterator at, bool lease_valid, Micros now) {
   using place::Invariant;
   using place::StartRefusal;
-  const StartRefusal why = place::start_refusal(picture_, m, at->second, lease_valid);
+  const StartRefusal why = place::start_refusal(view_, m, at->second, lease_valid);
   if (why == StartRefusal::none) return true;
   if (why == StartRefusal::lease_not_valid || why == StartRefusal::machine_not_accounted) return false;
   const Placed& p = at->second;
@@ -462,7 +462,7 @@
   place::violated(which, p.job_id + "/" + std::to_string(p.index) + " try " + std::to_string(p.attempt) +
                              " on " + m.record.id + ", epoch " + std::to_string(epoch_) + ": " +
                              std::string(place::to_string(why)));
-  picture_.drop(m, at, now, Freed::refused);
+  view_.drop(m, at, now, Freed::refused);
   return false;
 }
 
@@ -475,7 +475,7 @@
     Placed& p = here->second;
     if (p.halting) {
       if (p.phase == Phase::assigned) {
-        picture_.drop(m, here, now, Freed::never_sent);
+        view_.drop(m, here, now, Freed::never_sent);
       } else if (!by_push || now - p.halt_sent >= kRepeatHalt) {
         p.halt_sent = now;
         out.push_back({Order::Verb::halt, p.job_id, p.index, p.attempt, p.grace});
@@ -513,7 +513,7 @@
 std::vector<Holder::Push> Holder::pushes(Micros now, std::size_t most) {
   std::vector<Push> out;
   if (!loaded_) return out;
-  for (auto it = picture_.to_order.begin(); it != picture_.to_order.end() && out.size() < most;) {
+  for (auto it = view_.to_order.begin(); it != view_.to_order.end() && out.size() < most;) {
     Machine& m = **it;
     bool wanted = (!m.accounted && now < m.lapse_at) || m.hearing.in_doubt();
     bool later = !m.accounted || m.hearing.in_doubt();
@@ -522,7 +522,7 @@
       wanted = p.phase == Phase::assigned || (p.halting && now - p.halt_sent >= kRepeatHalt);
       later = later || p.halting;
     }
-    it = wanted || later ? std::next(it) : picture_.to_order.erase(it);
+    it = wanted || later ? std::next(it) : view_.to_order.erase(it);
     if (!wanted || m.pushing || now < m.push_again || m.record.address.empty()) continue;
     if (m.accounted && !m.up) continue;
     Push push{m.record.id, m.record.address, 0, m.session, {}};
@@ -538,8 +538,8 @@
 }
 
 void Holder::pushed(const std::string& machine, int status, const WorkerReport* report, Micros now) {
-  auto it = picture_.machines.find(machine);
-  if (it == picture_.machines.end()) return;
+  auto it = view_.machines.find(machine);
+  if (it == view_.machines.end()) return;
   Machine& m = it->second;
   m.pushing = false;
   const int lost = std::exchange(m.pushes_lost, status == 200 || status == 409 ? 0 : m.pushes_lost + 1);
@@ -549,11 +549,11 @@
       Placed& x = here->second;
       if (x.phase != Phase::sent || !x.by_push || x.fence != 0) continue;
       if (status == 409)
-        picture_.drop(m, here, now, Freed::push_refused);  // nothing was executed
+        view_.drop(m, here, now, Freed::push_refused);  // nothing was executed
       else
         x.by_push = false, x.answer_seq = 0;  // executed: the next newer report shows it
     }
-    if (m.hearing.shown(report->token, 0)) picture_.gained(m);
+    if (m.hearing.shown(report->token, 0)) view_.gained(m);
     apply(m, *report, false, now);
     if (status == 409) m.push_again = m.accounted ? now + kSecond / 2 : now;
     return;
@@ -575,48 +575,48 @@
 // ---------------------------------------------------------------- planning
 
 void Holder::check_rebuilt(Micros) {
-  if (picture_.rebuilt || !loaded_) return;
-  for (const auto& [id, m] : picture_.machines)
+  if (view_.rebuilt || !loaded_) return;
+  for (const auto& [id, m] : view_.machines)
     if (!m.accounted && !m.handed_empty) return;
-  picture_.rebuilt = true;
-  spdlog::info("share {}: rebuilt, {} machines, {} jobs", settings_.share, picture_.machines.size(),
-               picture_.jobs.size());
+  view_.rebuilt = true;
+  spdlog::info("share {}: rebuilt, {} machines, {} jobs", settings_.share, view_.machines.size(),
+               view_.jobs.size());
 }
 
 /// Which machines keep a takeover from being whole, for operators: said once.
 void Holder::say_silent(Micros now) {
-  if (picture_.rebuilt || said_silent_ || now - held_since_ < kSilentFor) return;
+  if (view_.rebuilt || said_silent_ || now - held_since_ < kSilentFor) return;
   said_silent_ = true;
   std::size_t silent = 0;
   const Machine* first = nullptr;
-  for (const Machine* m : picture_.all)
+  for (const Machine* m : view_.all)
     if (!m->accounted && !m->handed_empty && ++silent == 1) first = m;
   if (first)
     spdlog::info("share {}: {} of {} machines have not answered, {} ({}, {}{}) ...", settings_.share, silent,
-                 picture_.machines.size(), first->record.id, first->record.type, first->record.zone,
+                 view_.machines.size(), first->record.id, first->record.type, first->record.zone,
                  first->spot ? ", spot" : "");
 }
 
 bool Holder::tick(Micros now, bool may_start) {
   if (!loaded_) return false;
   say_silent(now);
-  for (Machine* at : picture_.all) {
+  for (Machine* at : view_.all) {
     Machine& m = *at;
     if (now >= m.lapse_at && (m.up || !m.accounted)) {
       lapse(m, now, Freed::lease_expired);
       m.up = false;
       m.accounted = true;
-      picture_.gained();
+      view_.gained();
       check_rebuilt(now);
     }
-    if (m.drain_until > 0 && now >= m.drain_until) m.drain_until = 0, m.drain_to = -2, picture_.gained();
+    if (m.drain_until > 0 && now >= m.drain_until) m.drain_until = 0, m.drain_to = -2, view_.gained();
     if (m.taken_at)  // save what can be saved before the machine goes
       for (auto& [key, p] : m.tasks)
         if (p.job && !p.halting && p.job->spec->checkpoint_every > 0 && p.phase != Phase::assigned) {
           if (p.job->spec->shape == Shape::gang)
-            picture_.stop_gang(*p.job, p.job->spec->save_time);
+            view_.stop_gang(*p.job, p.job->spec->save_time);
           else
-            picture_.halt(p, p.job->spec->save_time);
+            view_.halt(p, p.job->spec->save_time);
         }
   }
   if (!may_start) return false;
@@ -624,18 +624,18 @@
   // nothing changed. What only time brings (room no longer held, a deadline that presses) is looked for now
   // and then.
   const bool due = now - looked_ >= kLookAgain || now < looked_;
-  if (due) looked_ = now, picture_.gained();
-  if (!due && placed_at_ == picture_.changes) return false;
+  if (due) looked_ = now, view_.gained();
+  if (!due && placed_at_ == view_.changes) return false;
   const bool whole = placer_.place_all(now, kMostPlaced);
-  if (whole) placed_at_ = picture_.changes;
+  if (whole) placed_at_ = view_.changes;
   return !whole;
 }
 
 // ---------------------------------------------------------------- giving machines away
 
 bool Holder::release(const std::string& machine, Micros) {
-  auto it = picture_.machines.find(machine);
-  if (it == picture_.machines.end()) return false;
+  auto it = view_.machines.find(machine);
+  if (it == view_.machines.end()) return false;
   Machine& m = it->second;
   if (!loaded_ || !m.tasks.empty() || !m.accounted || m.pushing || m.leaving) return false;
   m.leaving = true;
@@ -643,8 +643,8 @@
 }
 
 void Holder::drain(const std::string& machine, int to, Rank rank, Micros now) {
-  auto it = picture_.machines.find(machine);
-  if (it == picture_.machines.end() || !loaded_ || !it->second.up) return;
+  auto it = view_.machines.find(machine);
+  if (it == view_.machines.end() || !loaded_ || !it->second.up) return;
   Machine& m = it->second;
   if (m.drain_until > now && (rank != Rank::low || m.drain_to != to)) return;
   if (rank == Rank::low) {  // nothing ranks below: what runs may finish, nothing more is placed
@@ -660,23 +660,23 @@
   for (auto& [key, p] : m.tasks) {
     const Micros grace = p.job->spec->checkpoint_every > 0 ? p.job->spec->save_time : 0;
     if (p.job->spec->shape == Shape::gang)
-      picture_.stop_gang(*p.job, grace);
+      view_.stop_gang(*p.job, grace);
     else
-      picture_.halt(p, grace);
+      view_.halt(p, grace);
   }
 }
 
 std::vector<std::pair<std::string, int>> Holder::drained() const {
   std::vector<std::pair<std::string, int>> out;
-  for (const auto& [id, m] : picture_.machines)
+  for (const auto& [id, m] : view_.machines)
     if (m.drain_until > 0 && m.drain_to >= -1 && m.tasks.empty() && !m.leaving)
       out.emplace_back(id, m.drain_to);
   return out;
 }
 
 void Holder::keep(const std::string& machine) {
-  if (auto it = picture_.machines.find(machine); it != picture_.machines.end())
-    it->second.leaving = false, picture_.gained();
+  if (auto it = view_.machines.find(machine); it != view_.machines.end())
+    it->second.leaving = false, view_.gained();
 }
 
 }  // namespace aspenwick::share
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -144,15 +144,15 @@
   std::optional<std::pair<std::uint32_t, std::uint32_t>> tally(const std::string& job) const;
   std::vector<Demand> demands(Micros now) const;
   std::vector<MachineState> machine_states(Micros now) const;
-  bool rebuilt() const { return picture_.rebuilt; }
-  bool has_machine(const std::string& id) const { return picture_.machines.contains(id); }
+  bool rebuilt() const { return view_.rebuilt; }
+  bool has_machine(const std::string& id) const { return view_.machines.contains(id); }
   std::uint64_t epoch() const { return epoch_; }
   /// Attempts numbered in this epoch; from place::kAttemptsPerEpoch on nothing is started.
   std::uint64_t attempts() const { return placer_.attempts(); }
   /// The share is held on under a higher epoch, recorded as ours without a moment in between.
   void raise_epoch(std::uint64_t epoch);
   /// Attempts that counted as gone since the share was taken, by reason.
-  const std::array<std::uint64_t, place::kFreedReasons>& freed() const { return picture_.freed; }
+  const std::array<std::uint64_t, place::kFreedReasons>& freed() const { return view_.freed; }
   const place::Rnn& rnn() const { return placer_.rnn(); }
   int share() const { return settings_.share; }
   std::size_t waiting() const;
@@ -206,9 +206,9 @@
   Micros held_since_;
   std::vector<Micros> waits_;
   Micros looked_ = 0;            // last pass over everything
-  std::uint64_t placed_at_ = 0;  // the picture's changes after the last pass
-  std::vector<int> zones_;       // of the settings, as the picture numbers them
-  place::Picture picture_;
+  std::uint64_t placed_at_ = 0;  // the view's changes after the last pass
+  std::vector<int> zones_;       // of the settings, as the view numbers them
+  place::ClusterView view_;
   place::Placer placer_;
 };
 
--- a/src/share/holder_answers.cpp
+++ b/src/share/holder_answers.cpp
@@ -14,8 +14,8 @@
 }  // namespace
 
 std::optional<std::pair<std::uint32_t, std::uint32_t>> Holder::tally(const std::string& id) const {
-  auto it = picture_.jobs.find(id);
-  if (it == picture_.jobs.end()) return {};
+  auto it = view_.jobs.find(id);
+  if (it == view_.jobs.end()) return {};
   std::uint32_t running = 0;
   for (const auto& [index, machine] : it->second->active) {
     auto p = machine->tasks.find({id, index});
@@ -26,7 +26,7 @@
 
 std::size_t Holder::waiting() const {
   std::size_t n = 0;
-  for (const auto& [id, j] : picture_.jobs)
+  for (const auto& [id, j] : view_.jobs)
     if (!j->cancelled && !j->finished) n += j->waiting();
   return n;
 }
@@ -38,8 +38,8 @@
       continue;
     std::int64_t waiting = j->waiting();
     const wire::Team* t = placer_.quota().team(j->spec->team);
-    auto use = picture_.team_use.find(j->spec->team);
-    if (t && use != picture_.team_use.end()) {
+    auto use = view_.team_use.find(j->spec->team);
+    if (t && use != view_.team_use.end()) {
       if (t->limit.gpus > 0 && j->spec->need.gpus > 0)
         waiting = std::min(waiting, (t->limit.gpus - use->second.gpus) / j->spec->need.gpus);
       if (t->limit.cpus > 0 && j->spec->need.cpus > 0)
@@ -92,7 +92,7 @@
   }
   // What runs of low arrays that have nothing waiting: its machines are free for others soon.
   Demand busy;
-  for (const auto& [id, j] : picture_.jobs) {
+  for (const auto& [id, j] : view_.jobs) {
     if (j->spec->shape != Shape::array || j->rank >= Rank::high || j->waiting() > 0) continue;
     busy.running += static_cast<std::uint32_t>(j->active.size());
     busy.need += j->spec->need * static_cast<std::int64_t>(j->active.size());
@@ -106,8 +106,8 @@
 
 std::vector<MachineState> Holder::machine_states(Micros now) const {
   std::vector<MachineState> out;
-  out.reserve(picture_.all.size());
-  for (const Machine* at : picture_.all) {
+  out.reserve(view_.all.size());
+  for (const Machine* at : view_.all) {
     const Machine& m = *at;
     MachineState s;
     s.id = m.record.id;
@@ -135,7 +135,7 @@
 std::vector<std::string> Holder::describe() const {
   std::vector<std::string> out;
   static constexpr const char* kPhases[] = {"assigned", "sent", "present", "running"};
-  for (const auto& [id, m] : picture_.machines)
+  for (const auto& [id, m] : view_.machines)
     for (const auto& [key, p] : m.tasks)
       out.push_back(id + " " + key.first + "/" + std::to_string(key.second) + " " +
                     (p.halting ? "halting" : kPhases[static_cast<int>(p.phase)]));
--- a/src/share/holder_records.cpp
+++ b/src/share/holder_records.cpp
@@ -18,8 +18,8 @@
 
 void Holder::load_done(const std::string& job, std::uint32_t row, const std::string& text,
                        std::uint64_t version) {
-  auto it = picture_.jobs.find(job);
-  if (it == picture_.jobs.end()) return;
+  auto it = view_.jobs.find(job);
+  if (it == view_.jobs.end()) return;
   Job& j = *it->second;
   if (row >= kUnitRows ? row - kUnitRows >= j.done.chunks() * DoneSet::kUnitsInChunk : row >= j.done.chunks())
     return;
@@ -34,7 +34,7 @@
   if (most == 0) return out;
   // Most unrecorded results first: in the order of names some jobs would never have their turn.
   std::vector<Job*> dirty;
-  for (auto& [id, j] : picture_.jobs)
+  for (auto& [id, j] : view_.jobs)
     if (!j->cancelled && !j->finished && !j->committing && !j->done.all() && !j->dirty.empty())
       dirty.push_back(j.get());
   std::sort(dirty.begin(), dirty.end(), [](const Job* a, const Job* b) {
@@ -84,8 +84,8 @@
 }
 
 void Holder::done_written(const DoneWrite& w, bool ok, std::uint64_t version) {
-  auto it = picture_.jobs.find(w.job);
-  if (it == picture_.jobs.end()) return;
+  auto it = view_.jobs.find(w.job);
+  if (it == view_.jobs.end()) return;
   Job& j = *it->second;
   j.in_flight.erase(w.row);
   j.row_versions[w.row] = version;
@@ -99,7 +99,7 @@
 
 std::vector<std::string> Holder::complete_jobs() const {
   std::vector<std::string> out;
-  for (const auto& [id, j] : picture_.jobs)
+  for (const auto& [id, j] : view_.jobs)
     if (!j->cancelled && !j->finished && !j->committing && j->done.all() && j->in_flight.empty())
       out.push_back(id);
   return out;
@@ -107,15 +107,15 @@
 
 std::vector<std::string> Holder::done_keys(const std::string& job) const {
   std::vector<std::string> out;
-  auto it = picture_.jobs.find(job);
-  if (it == picture_.jobs.end()) return out;
+  auto it = view_.jobs.find(job);
+  if (it == view_.jobs.end()) return out;
   for (const auto& [row, version] : it->second->row_versions)
     if (version != 0) out.push_back(job + "/" + row_name(row));
   return out;
 }
 
 void Holder::set_committing(const std::string& job, bool on) {
-  if (auto it = picture_.jobs.find(job); it != picture_.jobs.end()) it->second->committing = on;
+  if (auto it = view_.jobs.find(job); it != view_.jobs.end()) it->second->committing = on;
 }
 
 }  // namespace aspenwick::share
--- a/tests/invariant_test.cpp
+++ b/tests/invariant_test.cpp
@@ -5,8 +5,8 @@
 #include <spdlog/spdlog.h>
 
 #include "fixtures.h"
+#include "place/cluster_view.h"
 #include "place/decision.h"
-#include "place/picture.h"
 
 namespace aspenwick::place {
 namespace {
@@ -23,9 +23,9 @@
   DecisionTest() {
     MachineRecord record;
     record.id = "i-1";
-    machine = &picture.join(record);
+    machine = &view.join(record);
     record.id = "i-2";
-    other = &picture.join(record);
+    other = &view.join(record);
     machine->accounted = other->accounted = true;
     auto owned = std::make_unique<Job>();
     auto spec = wire::job_from_json(testing::job_json());
@@ -33,7 +33,7 @@
     owned->id = "j-1";
     owned->done = DoneSet(spec.tasks);
     job = owned.get();
-    picture.jobs.emplace("j-1", std::move(owned));
+    view.jobs.emplace("j-1", std::move(owned));
     add(*machine, 1);
   }
   void add(Machine& m, std::uint64_t attempt) {
@@ -41,12 +41,12 @@
     p.job = job;
     p.job_id = job->id;
     p.attempt = attempt;
-    picture.add(m, p);
+    view.add(m, p);
   }
   StartRefusal refusal(bool lease_valid = true) {
-    return start_refusal(picture, *machine, machine->tasks.at({"j-1", 0}), lease_valid);
+    return start_refusal(view, *machine, machine->tasks.at({"j-1", 0}), lease_valid);
   }
-  Picture picture;
+  ClusterView view;
   Machine* machine = nullptr;
   Machine* other = nullptr;
   Job* job = nullptr;
@@ -74,7 +74,7 @@
 }
 
 TEST_F(DecisionTest, NothingStartsWhileACopyOfTheTaskIsOnAnotherMachine) {
-  picture.strays[{"j-1", 0}] = 1;
+  view.strays[{"j-1", 0}] = 1;
   EXPECT_EQ(refusal(), StartRefusal::other_attempt);
 }
 
