--- a/src/place/placer.cpp
+++ b/src/place/placement.cpp
@@ -1,4 +1,4 @@
-#include "place/placer.h"
+#include "place/placement.h"
 
 #include <spdlog/spdlog.h>
 
@@ -28,18 +28,18 @@
 constexpr int kAimingPasses = 3;     // what makes way in one aims lower in the next
 }  // namespace
 
-void Placer::note_gpu_job(const JobSpec& spec) {
+void Placement::note_gpu_job(const JobSpec& spec) {
   if (spec.need.gpus == 0) return;
   for (std::size_t i = 0; i < types_.size(); ++i)
     if (job::type_allowed(spec, types_[i])) gpu_wanted_[i] = true;
 }
 
 /// Seconds that a task of the job takes, as seen so far or as its owner guessed.
-double Placer::run_time(const Job& j) {
+double Placement::run_time(const Job& j) {
   return j.run_count >= 3 ? j.run_sum / j.run_count : to_seconds(j.spec->estimate);
 }
 
-Micros Placer::slack(const Job& j, Micros now) const {
+Micros Placement::slack(const Job& j, Micros now) const {
   const Micros to_start = j.ready + j.start_within - now;
   if (!j.finish_by) return to_start;
   const Micros to_finish = *j.finish_by - j.spec->estimate - now;
@@ -47,7 +47,7 @@
   return j.spec->deadline ? to_finish : std::min(to_finish, to_start);
 }
 
-Rank Placer::rank_now(const Job& j, Micros now) const {
+Rank Placement::rank_now(const Job& j, Micros now) const {
   const bool pressed = j.rank == j.spec->rank || j.ready + j.start_within - now < kPressedToStart ||
                        (j.finish_by && *j.finish_by - j.spec->estimate - now < kPressed);
   return pressed ? j.rank : j.spec->rank;
@@ -101,12 +101,12 @@
   const bool first = w.aim == Aim::deadline;
   w.aim = Aim::none;
   if (!first || w.job->finish_within == 0 || w.rank != Rank::low) return;
-  w.slack = w.job->ready + w.job->finish_within - now - from_seconds(Placer::run_time(*w.job));
+  w.slack = w.job->ready + w.job->finish_within - now - from_seconds(Placement::run_time(*w.job));
   if (w.slack > 0) w.aim = Aim::objective;
 }
 }  // namespace
 
-std::vector<Job*> Placer::ordered_jobs(Micros now) const {
+std::vector<Job*> Placement::ordered_jobs(Micros now) const {
   using Aim = Waiting::Aim;
   std::vector<Waiting> list;
   for (auto& [id, j] : view_.jobs) {
@@ -139,7 +139,7 @@
   return out;
 }
 
-std::optional<std::uint32_t> Placer::next_task(Job& j) {
+std::optional<std::uint32_t> Placement::next_task(Job& j) {
   if (!j.again.empty()) return *j.again.begin();
   while (j.cursor < j.spec->tasks && (j.done.test(j.cursor) || j.active.contains(j.cursor))) ++j.cursor;
   if (j.cursor >= j.spec->tasks) return {};
@@ -147,14 +147,14 @@
 }
 
 /// How long nothing of it was started, though it might have been.
-void Placer::note_wait(Job& j, Micros now) const {
+void Placement::note_wait(Job& j, Micros now) const {
   const std::uint32_t tasks = j.spec->shape == Shape::gang ? j.spec->tasks : 1;
   if (now < j.not_before || !place_allowed(j) || !quota_.within_limit(j, tasks)) j.waits_since = now;
   const Micros waits = now - std::max(j.ready, j.waits_since);
   j.passed_over = waits >= kPassedOver, j.any_room = waits >= kAnyRoom;
 }
 
-void Placer::look_for_unseen() {
+void Placement::look_for_unseen() {
   unseen_.clear();
   if (view_.rebuilt) return;
   for (const Machine* m : view_.all)
@@ -163,7 +163,7 @@
 
 /// What the job's own wishes forbid there was never started there: by us, or by whoever held the share
 /// before.
-bool Placer::may_hold(const Unseen& u, const Job& j) const {
+bool Placement::may_hold(const Unseen& u, const Job& j) const {
   if (!u.type) return true;
   if (u.spot && !j.spec->spot) return false;
   const Kind& kind = j.kind->first;
@@ -173,7 +173,7 @@
 /// A task is placed only when every machine that could hold it is accounted for. One that is silent after a
 /// takeover (it died, or was taken back) holds up its whole lease long only what it may hold: without that,
 /// one lost spot machine kept production of its share waiting for 15 s.
-bool Placer::place_allowed(const Job& j) const {
+bool Placement::place_allowed(const Job& j) const {
   if (j.committing) return false;
   if (view_.rebuilt) return true;
   // Unseen tasks may use up the team's limit.
@@ -189,7 +189,7 @@
          std::none_of(unseen_.begin(), unseen_.end(), [&](const Unseen& u) { return may_hold(u, j); });
 }
 
-bool Placer::machine_allowed(const Job& j, const Machine& m, Micros now) const {
+bool Placement::machine_allowed(const Job& j, const Machine& m, Micros now) const {
   if (!m.type || !m.up || !m.accounted || m.leaving || m.taken_at || m.suspect_until > now) return false;
   if (m.drain_until > now || m.hearing.in_doubt()) return false;
   // Room that is being made bit by bit must not be filled again from below.
@@ -202,7 +202,7 @@
   return bad == j.bad_machines.end() || bad->second <= now;
 }
 
-bool Placer::fits(const Job& j, const Machine& m, const Resources& free) const {
+bool Placement::fits(const Job& j, const Machine& m, const Resources& free) const {
   // Machines for GPU work take other work only if it can make way at once: what stays, or outranks GPU work,
   // would keep a dear machine rented for a few CPUs.
   // Passed over for long, it may: where these were the only machines with room it never ran.
@@ -214,14 +214,14 @@
 
 /// Machines that cost much more for this kind of task are a tier of their own: q decides within the cheapest
 /// tier that has room. A long-running task on a GPU machine that it does not need would keep it rented.
-int Placer::dearness(const Job& j, const Machine& m) const {
+int Placement::dearness(const Job& j, const Machine& m) const {
   if (j.spec->need.gpus == 0) return m.type->total.gpus > 0 ? 1 : 0;
   // What may not use spot machines has no cheaper tier to wait for, and none to make room in.
   return m.spot || !j.spec->spot ? 0 : 1;
 }
 
 /// How soon a task could start there: 2 with its image, 1 while another task fetches it.
-int Placer::warmth(const Job& j, const Machine& m) const {
+int Placement::warmth(const Job& j, const Machine& m) const {
   if (j.spec->image.empty()) return 2;
   if (std::any_of(m.images.begin(), m.images.end(), [&](const auto& i) { return i.first == j.spec->image; }))
     return 2;
@@ -232,7 +232,7 @@
 
 /// Fetching its image takes so long that it would hardly start in time: it makes room where the image is
 /// rather than start where there is room.
-bool Placer::image_first(const Job& j) const {
+bool Placement::image_first(const Job& j) const {
   if (j.rank < Rank::high || j.spec->image.empty()) return false;
   double slowest = 0;
   for (std::size_t i = 0; i < types_.size(); ++i)
@@ -243,7 +243,7 @@
 /// Production keeps a machine rented for long. For the few seconds in which the leader may drain one without
 /// GPUs elsewhere it waits, rather than settle on a dear one; where plain machines are all taken, longer
 /// would be in vain.
-bool Placer::await_plain(const Job& j, Micros now) const {
+bool Placement::await_plain(const Job& j, Micros now) const {
   if (j.rank != Rank::production || j.spec->need.gpus > 0) return false;
   if (now - j.ready >= std::min(j.start_within / 2, kAwaitPlain)) return false;
   for (std::size_t i = 0; i < types_.size(); ++i)
@@ -260,25 +260,25 @@
 }
 }  // namespace
 
-void Placer::Fit::insert(Machine* m) {
+void Placement::Fit::insert(Machine* m) {
   const auto at = std::lower_bound(machines.begin(), machines.end(), m, goes_before) - machines.begin();
   machines.insert(machines.begin() + at, m);
   neurons.insert(neurons.begin() + at, m->neuron);
 }
 
-void Placer::Fit::keep_if(const std::function<bool(const Machine&)>& wanted) {
+void Placement::Fit::keep_if(const std::function<bool(const Machine&)>& wanted) {
   std::erase_if(machines, [&](const Machine* m) { return !wanted(*m); });
   neurons.clear();
   for (const Machine* m : machines) neurons.push_back(m->neuron);
 }
 
 /// As far as the job's own tasks decide.
-bool Placer::zone_open(const Job& j, const Machine& m) const {
+bool Placement::zone_open(const Job& j, const Machine& m) const {
   if (j.spec->one_zone && !j.active.empty() && j.tasks_in(m.zone) == 0) return false;
   return !j.spec->spread || j.tasks_in(m.zone) < static_cast<int>((j.spec->tasks + 1) / 2);
 }
 
-void Placer::find_fit(const Job& j, Fit& fit, Micros now) const {
+void Placement::find_fit(const Job& j, Fit& fit, Micros now) const {
   struct Found {
     Machine* machine;
     int warmth;
@@ -310,8 +310,8 @@
   for (const Machine* m : fit.machines) fit.neurons.push_back(m->neuron);
 }
 
-bool Placer::place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now,
-                       Fit& fit) {
+bool Placement::place_one(Job& j, std::uint32_t index, std::uint64_t attempt, bool cheap_only, Micros now,
+                          Fit& fit) {
   if (!quota_.within_limit(j, 1)) return false;
   // An old attempt is still somewhere.
   if (!view_.strays.empty() && view_.strays.contains({j.id, index})) return false;
@@ -354,7 +354,7 @@
 }
 
 /// How many tasks of the job `room` holds.
-std::int64_t Placer::slots(const Job& j, const Machine& m, Resources room) const {
+std::int64_t Placement::slots(const Job& j, const Machine& m, Resources room) const {
   if (!fits(j, m, room)) return 0;
   return j.spec->need.times_in(room, j.spec->tasks);
 }
@@ -362,8 +362,8 @@
 /// The zones in which a gang that needs one could start, given the room that `room_of` tells of each machine:
 /// the one with the least to spare first, so that the other stays open for a larger gang. A single -1 if any
 /// will do.
-std::vector<int> Placer::gang_zones(const Job& j, Micros now,
-                                    const std::function<Resources(const Machine&)>& room_of) const {
+std::vector<int> Placement::gang_zones(const Job& j, Micros now,
+                                       const std::function<Resources(const Machine&)>& room_of) const {
   std::map<std::string, std::pair<int, std::int64_t>> by_name;
   for (const Machine* m : view_.all)
     if (machine_allowed(j, *m, now) && (m->spot || j.to_spot_until <= now)) {
@@ -382,7 +382,7 @@
   return out;
 }
 
-bool Placer::place_gang(Job& j, Micros now, int least_warmth) {
+bool Placement::place_gang(Job& j, Micros now, int least_warmth) {
   // Old attempts must be gone before the new one starts.
   if (!j.active.empty() || !quota_.within_limit(j, j.spec->tasks)) return false;
   // In vain for gangs alike that are as large. One that goes to spot machines looks for less than they do.
@@ -420,7 +420,7 @@
 
 /// A gang that saves, runs whole on ordinary machines and has some time to go: what is left costs less on
 /// spot machines than fetching the image again and the repeated start.
-bool Placer::worth_spot(const Job& j, Micros now) const {
+bool Placement::worth_spot(const Job& j, Micros now) const {
   if (j.spec->shape != Shape::gang || !j.spec->spot || j.spec->checkpoint_every == 0 ||
       j.spec->need.gpus == 0)
     return false;
@@ -447,7 +447,7 @@
 
 /// Machines with GPUs cost several times as much when they aren't spot ones. When some of those are left
 /// over, a gang saves, stops and goes on there; its ordinary machines can be given back.
-void Placer::move_to_spot(Micros now) {
+void Placement::move_to_spot(Micros now) {
   for (auto& [id, j] : view_.jobs) {
     if (!worth_spot(*j, now)) continue;
     const auto zones = gang_zones(*j, now, [](const Machine& m) { return m.spot ? m.free : Resources{}; });
@@ -461,7 +461,7 @@
 }
 
 /// Stops lower ranks on as many machines of one zone as the whole gang needs, or on none.
-bool Placer::make_gang_room(Job& j, Micros now, int least_warmth) {
+bool Placement::make_gang_room(Job& j, Micros now, int least_warmth) {
   if (!j.active.empty() || !quota_.within_limit(j, j.spec->tasks)) return false;
   auto& tried = j.kind->second.gang_to_stop[static_cast<std::size_t>(j.rank)];
   if (tried.holds(view_.changes, j.spec->need, j.spec->tasks)) return false;
@@ -515,7 +515,7 @@
   return true;
 }
 
-Placer::Room Placer::make_room(Job& j, Micros now, int least_warmth) {
+Placement::Room Placement::make_room(Job& j, Micros now, int least_warmth) {
   std::int64_t missing = j.waiting();
   // What is unseen counts against the guarantee too: until it is seen nobody borrows.
   const bool guaranteed = view_.rebuilt && quota_.within_guarantee(j);
@@ -585,12 +585,12 @@
 }
 
 /// A gang: placed whole, or lower ranks stopped for it.
-bool Placer::place_or_make_room(Job& j, Micros now, int least_warmth) {
+bool Placement::place_or_make_room(Job& j, Micros now, int least_warmth) {
   if (place_gang(j, now, least_warmth) || !j.active.empty()) return true;
   return j.rank > Rank::low && make_gang_room(j, now, least_warmth);
 }
 
-bool Placer::place_all(Micros now, std::uint64_t most) {
+bool Placement::place_all(Micros now, std::uint64_t most) {
   if (attempts_ >= kAttemptsPerEpoch) return true;  // nothing more can be started before the next epoch
   const std::uint64_t stop = std::min(attempts_ + most, kAttemptsPerEpoch);
   look_for_unseen();
--- a/src/place/placer.h
+++ b/src/place/placement.h
@@ -13,10 +13,10 @@
 
 namespace aspenwick::place {
 
-class Placer {
+class Placement {
  public:
-  Placer(const wire::PlatformSettings& platform, const std::vector<wire::MachineType>& types,
-         ClusterView& view, RnnSettings rnn, std::uint64_t epoch)
+  Placement(const wire::PlatformSettings& platform, const std::vector<wire::MachineType>& types,
+            ClusterView& view, RnnSettings rnn, std::uint64_t epoch)
       : platform_(platform),
         types_(types),
         view_(view),
--- a/src/share/holder.cpp
+++ b/src/share/holder.cpp
@@ -61,7 +61,7 @@
       renewable_until_(renewable_until),
       lookup_(std::move(lookup)),
       held_since_(now),
-      placer_(platform, types, view_, settings.rnn, epoch) {
+      placement_(platform, types, view_, settings.rnn, epoch) {
   for (const auto& z : platform.zones) zones_.push_back(view_.zone(z));
 }
 
@@ -77,7 +77,7 @@
 void Holder::raise_epoch(std::uint64_t epoch) {
   if (epoch <= epoch_) return;
   epoch_ = epoch;
-  placer_.raise_epoch(epoch);
+  placement_.raise_epoch(epoch);
   view_.gained();
 }
 
@@ -163,14 +163,14 @@
   m.lapse_at = surely_lapsed(handed_empty ? now : std::max(now, renewable_until_));
   m.idle_since = now;
   m.gpu_idle_since = now;
-  m.neuron = placer_.rnn().join(record.id);
+  m.neuron = placement_.rnn().join(record.id);
 }
 
 void Holder::machine_gone(const std::string& id, Micros now) {
   auto it = view_.machines.find(id);
   if (it == view_.machines.end()) return;
   lapse(it->second, now, Freed::left_share);
-  placer_.rnn().leave(it->second.neuron);
+  placement_.rnn().leave(it->second.neuron);
   view_.leave(it);
   check_rebuilt(now);
 }
@@ -398,10 +398,10 @@
   j.run_sum += run;
   ++j.run_count;
   const double goal = settings_.rnn.normalise ? run / (j.run_sum / j.run_count) : run;
-  placer_.rnn().learn(m.neuron, goal);
+  placement_.rnn().learn(m.neuron, goal);
   if (spdlog::should_log(spdlog::level::debug))
     spdlog::debug("learn {} goal {:.3f} threshold {:.3f} q {:.4f}", m.record.id, goal,
-                  placer_.rnn().threshold(), placer_.rnn().q(m.neuron));
+                  placement_.rnn().threshold(), placement_.rnn().q(m.neuron));
 }
 
 void Holder::task_failed(Job& j, Machine& m, Micros now) {
@@ -626,7 +626,7 @@
   const bool due = now - looked_ >= kLookAgain || now < looked_;
   if (due) looked_ = now, view_.gained();
   if (!due && placed_at_ == view_.changes) return false;
-  const bool whole = placer_.place_all(now, kMostPlaced);
+  const bool whole = placement_.place_all(now, kMostPlaced);
   if (whole) placed_at_ = view_.changes;
   return !whole;
 }
--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "job/graph.h"
-#include "place/placer.h"
+#include "place/placement.h"
 #include "wire/settings.h"
 
 namespace aspenwick::share {
@@ -82,7 +82,7 @@
   // ---- events
   void job_known(const std::string& id, const JobRecord& record, bool fresh, Micros now, Micros time_of_day);
   /// Any share's job: which machine types its GPU tasks can use.
-  void note_gpu_job(const JobSpec& spec) { placer_.note_gpu_job(spec); }
+  void note_gpu_job(const JobSpec& spec) { placement_.note_gpu_job(spec); }
   /// Its priority and when it must be done, as those that need it grant and want.
   void set_course(const std::string& id, const job::Course& course, Micros now, Micros time_of_day);
   void load_done(const std::string& job, std::uint32_t row, const std::string& text, std::uint64_t version);
@@ -148,12 +148,12 @@
   bool has_machine(const std::string& id) const { return view_.machines.contains(id); }
   std::uint64_t epoch() const { return epoch_; }
   /// Attempts numbered in this epoch; from place::kAttemptsPerEpoch on nothing is started.
-  std::uint64_t attempts() const { return placer_.attempts(); }
+  std::uint64_t attempts() const { return placement_.attempts(); }
   /// The share is held on under a higher epoch, recorded as ours without a moment in between.
   void raise_epoch(std::uint64_t epoch);
   /// Attempts that counted as gone since the share was taken, by reason.
   const std::array<std::uint64_t, place::kFreedReasons>& freed() const { return view_.freed; }
-  const place::Rnn& rnn() const { return placer_.rnn(); }
+  const place::Rnn& rnn() const { return placement_.rnn(); }
   int share() const { return settings_.share; }
   std::size_t waiting() const;
   /// From a job's submission to the starts of its tasks, since last asked.
@@ -209,7 +209,7 @@
   std::uint64_t placed_at_ = 0;  // the view's changes after the last pass
   std::vector<int> zones_;       // of the settings, as the view numbers them
   place::ClusterView view_;
-  place::Placer placer_;
+  place::Placement placement_;
 };
 
 }  // namespace aspenwick::share
--- a/src/share/holder_answers.cpp
+++ b/src/share/holder_answers.cpp
@@ -33,11 +33,11 @@
 
 std::vector<Demand> Holder::demands(Micros now) const {
   std::vector<Demand> out;
-  for (Job* j : placer_.ordered_jobs(now)) {
+  for (Job* j : placement_.ordered_jobs(now)) {
     if (out.size() >= kMostDemands && !(j->passed_over && out.size() < kMostDemands + kMostPassedOver))
       continue;
     std::int64_t waiting = j->waiting();
-    const wire::Team* t = placer_.quota().team(j->spec->team);
+    const wire::Team* t = placement_.quota().team(j->spec->team);
     auto use = view_.team_use.find(j->spec->team);
     if (t && use != view_.team_use.end()) {
       if (t->limit.gpus > 0 && j->spec->need.gpus > 0)
@@ -64,16 +64,16 @@
         if (closed) d.closed_zones |= 1U << z;
       }
     }
-    d.rank = placer_.rank_now(*j, now);
+    d.rank = placement_.rank_now(*j, now);
     d.shape = j->spec->shape;
     d.spot = j->spec->spot;
     d.waiting = static_cast<std::uint32_t>(waiting);
     d.running = static_cast<std::uint32_t>(j->active.size());
-    d.slack_ms =
-        static_cast<std::uint32_t>(std::clamp<Micros>(placer_.slack(*j, now) / kMillisecond, 0, 3'600'000));
-    d.guess_ms = static_cast<std::uint32_t>(std::clamp(place::Placer::run_time(*j) * 1000, 0.0, 3.6e6));
+    d.slack_ms = static_cast<std::uint32_t>(
+        std::clamp<Micros>(placement_.slack(*j, now) / kMillisecond, 0, 3'600'000));
+    d.guess_ms = static_cast<std::uint32_t>(std::clamp(place::Placement::run_time(*j) * 1000, 0.0, 3.6e6));
     d.one_zone = j->spec->one_zone;
-    d.plain_only = placer_.await_plain(*j, now);
+    d.plain_only = placement_.await_plain(*j, now);
     d.passed_over = j->passed_over, d.any_room = j->any_room;
     // Jobs that are alike are told as one: with ninety services waiting the rest would not be heard of.
     if (d.shape == wire::Shape::service) {
@@ -121,7 +121,7 @@
     s.idle_ms =
         static_cast<std::uint32_t>(std::clamp<Micros>((now - m.idle_since) / kMillisecond, 0, 3'600'000));
     if (!m.tasks.empty()) s.idle_ms = 0;
-    if (m.type && placer_.gpu_wanted(m.type_index)) {  // idle while no GPU task is there
+    if (m.type && placement_.gpu_wanted(m.type_index)) {  // idle while no GPU task is there
       s.idle_ms = m.load().gpus ? 0
                                 : static_cast<std::uint32_t>(std::clamp<Micros>(
                                       (now - m.gpu_idle_since) / kMillisecond, 0, 3'600'000));
