--- a/bench/scale_bench.cpp
+++ b/bench/scale_bench.cpp
@@ -6,7 +6,7 @@
 
 #include <random>
 
-#include "fleet/renter.h"
+#include "fleet/provisioner.h"
 #include "job/graph.h"
 #include "place/rnn.h"
 #include "share/holder.h"
@@ -270,10 +270,10 @@
     m.id = states[i].id, m.type = "plain-16", m.zone = "east", m.share = static_cast<int>(i % 5);
     records[m.id] = m;
   }
-  fleet::Renter renter(w.settings, w.machine_types, {});
+  fleet::Provisioner provisioner(w.settings, w.machine_types, {});
   for (auto _ : state) {
     w.now += kSecond / 2;
-    benchmark::DoNotOptimize(renter.tick(w.now, shares, records));
+    benchmark::DoNotOptimize(provisioner.tick(w.now, shares, records));
   }
 }
 
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -18,12 +18,12 @@
                          calls_left_ + to_seconds(t - refilled_) * platform_.cloud_rps * kCallPart);
   refilled_ = t;
   if (types_.empty()) {
-    renter_.reset();
+    provisioner_.reset();
     if (calls_left_ >= 1) calls_left_ -= 1, fetch_types();
     return;
   }
-  if (!renter_ || epoch_ != epoch) {
-    renter_ = std::make_unique<fleet::Renter>(platform_, types_, settings_);
+  if (!provisioner_ || epoch_ != epoch) {
+    provisioner_ = std::make_unique<fleet::Provisioner>(platform_, types_, settings_);
     epoch_ = epoch;
     next_list_ = 0;
     spdlog::info("leading with epoch {}", epoch_);
@@ -37,7 +37,7 @@
     next_list_ = t + kListEvery;
     list_machines("", std::make_shared<std::vector<wire::CloudMachine>>());
   }
-  for (const auto& action : renter_->tick(t, needs_.shares(), machines_)) {
+  for (const auto& action : provisioner_->tick(t, needs_.shares(), machines_)) {
     if (const auto* r = std::get_if<fleet::Rent>(&action))
       rent(*r);
     else if (const auto* d = std::get_if<fleet::Delete>(&action))
@@ -48,11 +48,11 @@
 }
 
 int Leader::share_for(const std::string& machine, const std::string& type, int shares) {
-  return renter_ ? renter_->share_for(machine, type, shares) : 0;
+  return provisioner_ ? provisioner_->share_for(machine, type, shares) : 0;
 }
 
 void Leader::adopted(const std::string& machine) {
-  if (renter_) renter_->adopted(machine);
+  if (provisioner_) provisioner_->adopted(machine);
 }
 
 void Leader::fetch_types() {
@@ -64,7 +64,7 @@
                         if (code != 200) return;
                         try {
                           const auto types = wire::parse_types(body);
-                          if (renter_) renter_->prices(types);
+                          if (provisioner_) provisioner_->prices(types);
                           if (types_.empty() && !types.empty()) needs_.found_types(types);
                         } catch (const std::exception& e) {
                           spdlog::error("cloud: {}", e.what());
@@ -80,13 +80,13 @@
   needs_.http.request(net::Method::get, platform_.cloud, path, "", kCloudDeadline,
                       [this, sofar](int code, const std::string& body) {
                         listing_ = false;
-                        if (code != 200 || !renter_) return;
+                        if (code != 200 || !provisioner_) return;
                         try {
                           auto page = wire::parse_cloud_page(body);
                           sofar->insert(sofar->end(), page.machines.begin(), page.machines.end());
                           if (page.more && !page.machines.empty())
                             return list_machines(sofar->back().id, sofar);
-                          renter_->listed(*sofar, machines_, needs_.now());
+                          provisioner_->listed(*sofar, machines_, needs_.now());
                         } catch (const std::exception& e) {
                           spdlog::error("cloud: {}", e.what());
                         }
@@ -94,31 +94,31 @@
 }
 
 void Leader::rent(const fleet::Rent& rent) {
-  if (calls_left_ < 1) return renter_->rented(rent, 429, {}, needs_.now() - 3600 * kSecond);
+  if (calls_left_ < 1) return provisioner_->rented(rent, 429, {}, needs_.now() - 3600 * kSecond);
   calls_left_ -= 1;
   const std::string request = request_names_.next(epoch_);
   needs_.http.request(net::Method::post, platform_.cloud, "/rentals",
                       wire::rental_body(request, types_[rent.type].name, rent.zone, rent.spot, rent.count),
                       kCloudDeadline, [this, epoch = epoch_, rent](int code, const std::string& body) {
-                        if (!renter_ || epoch_ != epoch) return;
+                        if (!provisioner_ || epoch_ != epoch) return;
                         std::vector<std::string> ids;
                         if (code == 200) try {
                             ids = wire::parse_rented(body);
                           } catch (const std::exception& e) {
                             spdlog::error("cloud: {}", e.what());
                           }
-                        renter_->rented(rent, code, ids, needs_.now());
+                        provisioner_->rented(rent, code, ids, needs_.now());
                       });
 }
 
 void Leader::remove(const fleet::Delete& gone) {
-  if (calls_left_ < 1) return renter_->deleted(gone.machines, false, needs_.now());
+  if (calls_left_ < 1) return provisioner_->deleted(gone.machines, false, needs_.now());
   calls_left_ -= 1;
   needs_.http.request(net::Method::post, platform_.cloud, "/rentals/delete",
                       wire::rental_delete_body(gone.machines), kCloudDeadline,
                       [this, epoch = epoch_, ids = gone.machines](int code, const std::string&) {
-                        if (!renter_ || epoch_ != epoch || code != 200) return;
-                        renter_->deleted(ids, true, needs_.now());
+                        if (!provisioner_ || epoch_ != epoch || code != 200) return;
+                        provisioner_->deleted(ids, true, needs_.now());
                         spdlog::info("deleted {} machines: {} ...", ids.size(), ids.front());
                         needs_.deleted(ids);
                       });
--- a/src/app/leader.h
+++ b/src/app/leader.h
@@ -1,6 +1,6 @@
 // The leader's errands at the cloud: machine types and prices, the list of machines, rentals and deletions,
-// as its plan (fleet::Renter) wants them and the cloud's rate allows. Reaches the world through what it is
-// given.
+// as its plan (fleet::Provisioner) wants them and the cloud's rate allows. Reaches the world through what it
+// is given.
 #pragma once
 #include <functional>
 #include <map>
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "fleet/renter.h"
+#include "fleet/provisioner.h"
 #include "net/exchange.h"
 #include "share/peer_frame.h"
 
@@ -39,7 +39,7 @@
   /// Every half second while this node leads with `epoch`.
   void lead(std::uint64_t epoch);
   /// This node does not lead, or not any more: what it had planned is forgotten.
-  void rest() { renter_.reset(); }
+  void rest() { provisioner_.reset(); }
 
   /// The share that a machine which reports without a record should join.
   int share_for(const std::string& machine, const std::string& type, int shares);
@@ -56,7 +56,7 @@
   const std::vector<wire::MachineType>& types_;
   const std::map<std::string, share::MachineRecord>& machines_;
   Needs needs_;
-  std::unique_ptr<fleet::Renter> renter_;
+  std::unique_ptr<fleet::Provisioner> provisioner_;
   std::uint64_t epoch_ = 0;
   fleet::RequestNames request_names_;
   bool fetching_types_ = false, listing_ = false;
--- a/src/app/operator_settings.h
+++ b/src/app/operator_settings.h
@@ -3,7 +3,7 @@
 #include <stdexcept>
 #include <string>
 
-#include "fleet/renter.h"
+#include "fleet/provisioner.h"
 #include "share/holder.h"
 
 namespace aspenwick::app {
--- a/src/app/peer_desk.h
+++ b/src/app/peer_desk.h
@@ -8,7 +8,7 @@
 
 #include "app/keeper.h"
 #include "app/records.h"
-#include "fleet/renter.h"
+#include "fleet/provisioner.h"
 #include "net/loop.h"
 #include "share/cancellations.h"
 #include "share/heartbeats.h"
--- a/src/fleet/renter.cpp
+++ b/src/fleet/provisioner.cpp
@@ -1,4 +1,4 @@
-#include "fleet/renter.h"
+#include "fleet/provisioner.h"
 
 #include <spdlog/spdlog.h>
 
@@ -37,18 +37,18 @@
 double work_in_hand(const share::Demand& d) { return (d.waiting + 0.5 * d.running) * run_time(d); }
 }  // namespace
 
-std::size_t Renter::type_index(const std::string& name) const {
+std::size_t Provisioner::type_index(const std::string& name) const {
   std::size_t i = 0;
   while (i < types_.size() && types_[i].name != name) ++i;
   return i;
 }
 
-void Renter::prices(const std::vector<wire::MachineType>& current) {
+void Provisioner::prices(const std::vector<wire::MachineType>& current) {
   for (const auto& t : current) spot_price_[t.name] = t.spot_price;
 }
 
-void Renter::listed(const std::vector<wire::CloudMachine>& machines,
-                    const std::map<std::string, MachineRecord>& records, Micros now) {
+void Provisioner::listed(const std::vector<wire::CloudMachine>& machines,
+                         const std::map<std::string, MachineRecord>& records, Micros now) {
   std::set<std::string> seen;
   for (const auto& c : machines) {
     seen.insert(c.id);
@@ -75,7 +75,7 @@
   });
 }
 
-void Renter::rented(const Rent& rent, int status, const std::vector<std::string>& ids, Micros now) {
+void Provisioner::rented(const Rent& rent, int status, const std::vector<std::string>& ids, Micros now) {
   if (auto it = std::find(asked_.begin(), asked_.end(), rent); it != asked_.end()) asked_.erase(it);
   const auto key = offer(types_[rent.type].name, rent.zone, rent.spot);
   if (status != 200 || static_cast<int>(ids.size()) < rent.count)
@@ -88,7 +88,7 @@
   spdlog::info("rent {} x{}: {} ({} machines)", key, rent.count, status, ids.size());
 }
 
-void Renter::deleted(const std::vector<std::string>& ids, bool ok, Micros) {
+void Provisioner::deleted(const std::vector<std::string>& ids, bool ok, Micros) {
   for (const auto& id : ids) {
     if (!ok) {
       deleting_.erase(id);
@@ -99,7 +99,7 @@
   }
 }
 
-int Renter::share_for(const std::string& machine, const std::string&, int shares) {
+int Provisioner::share_for(const std::string& machine, const std::string&, int shares) {
   auto it = booting_.find(machine);
   if (it != booting_.end() && it->second.claimed_by >= 0) return it->second.claimed_by;
   // A share without a team has no use for it.
@@ -107,11 +107,11 @@
   return turn_++ % served;
 }
 
-std::uint32_t Renter::rooms_in(const share::Demand& d, const wire::Resources& room) const {
+std::uint32_t Provisioner::rooms_in(const share::Demand& d, const wire::Resources& room) const {
   return static_cast<std::uint32_t>(d.need.times_in(room, kMostRooms));
 }
 
-bool Renter::suits(const Want& w, std::size_t type, const std::string& zone, bool spot) const {
+bool Provisioner::suits(const Want& w, std::size_t type, const std::string& zone, bool spot) const {
   const auto& d = w.demand;
   if (type >= types_.size() || (type < 64 && !(d.types >> type & 1))) return false;
   if (spot && !d.spot) return false;
@@ -125,7 +125,7 @@
   return true;
 }
 
-bool Renter::usable(const Want& w, const Room& r) const {
+bool Provisioner::usable(const Want& w, const Room& r) const {
   if (!suits(w, r.type, r.zone, r.spot)) return false;
   if (w.demand.plain_only && types_[r.type].total.gpus > 0) return false;  // as its holder does
   // As the holder does: only work that can make way shares a machine with GPU work.
@@ -134,7 +134,7 @@
          (w.demand.rank == wire::Rank::low && w.demand.shape == wire::Shape::array && !r.booting);
 }
 
-std::uint32_t Renter::fill(Want& w, Room& r) const {
+std::uint32_t Provisioner::fill(Want& w, Room& r) const {
   std::uint32_t n = 0;
   while (w.left > 0 && usable(w, r) && w.demand.need.fits_in(r.free)) {
     if (w.demand.need.gpus > 0) r.gpu_touched = true;
@@ -148,7 +148,7 @@
 
 // ---------------------------------------------------------------- the view
 
-void Renter::condemn_lost(Plan& plan, const std::map<std::string, MachineRecord>& records) {
+void Provisioner::condemn_lost(Plan& plan, const std::map<std::string, MachineRecord>& records) {
   Delete gone;
   auto condemn = [&](const std::string& id) {
     auto [it, added] = deleting_.try_emplace(id, plan.now);
@@ -169,8 +169,8 @@
   if (!gone.machines.empty()) plan.actions.emplace_back(gone);
 }
 
-void Renter::gather(Plan& plan, const std::vector<ShareSaid>& shares,
-                    const std::map<std::string, MachineRecord>& records) {
+void Provisioner::gather(Plan& plan, const std::vector<ShareSaid>& shares,
+                         const std::map<std::string, MachineRecord>& records) {
   gpu_wanted_.resize(types_.size());
   for (const auto& s : shares)
     for (const auto& d : s.demands) {
@@ -238,19 +238,19 @@
 
 // ---------------------------------------------------------------- moving
 
-bool Renter::movable(const Room& r, const Want& w) const {
+bool Provisioner::movable(const Room& r, const Want& w) const {
   return !r.booting && !r.touched && r.empty && r.share != w.share &&
          r.idle_ms * kMillisecond >= settings_.move_idle;
 }
 
 /// On it runs only what makes way for GPU work.
-bool Renter::drainable_for_gpu(const Room& r, const Want& w) const {
+bool Provisioner::drainable_for_gpu(const Room& r, const Want& w) const {
   return w.demand.need.gpus > 0 && !r.booting && !r.empty && !r.gpu_touched && r.share != w.share &&
          r.top_rank == wire::Rank::low && r.free.gpus == types_[r.type].total.gpus &&
          !draining_.contains(r.id);
 }
 
-void Renter::take_booting(Plan& plan, Want& w) {
+void Provisioner::take_booting(Plan& plan, Want& w) {
   // A share's earlier claims first: a claim that wandered would send machines where they are not needed.
   for (const bool own : {true, false})
     for (auto& r : plan.rooms) {
@@ -264,7 +264,7 @@
     }
 }
 
-void Renter::take_empty(Plan& plan, Want& w) {
+void Provisioner::take_empty(Plan& plan, Want& w) {
   for (auto& r : plan.rooms) {
     if (w.left == 0) return;
     const int from = r.share;
@@ -277,7 +277,7 @@
 }
 
 /// A share whose high ranks wait gets machines on which only lower ranks run.
-void Renter::take_from_lower(Plan& plan, Want& w) {
+void Provisioner::take_from_lower(Plan& plan, Want& w) {
   if (w.demand.rank < wire::Rank::high || plan.now < next_drain_) return;
   for (int n = 0; n < kDrainsPerTick && w.left > 0; ++n) {
     Room* least = nullptr;
@@ -309,7 +309,7 @@
 /// some. Not beside production, which mostly stays for good: such a machine would take nothing more in vain.
 /// (Without these two, compact work on the largest fleet kept fewer deadlines; which of them it was isn't
 /// known.) GPUs that are in use would stand idle for a few CPUs beside them.
-bool Renter::roomy(const Room& r, const Want& w) const {
+bool Provisioner::roomy(const Room& r, const Want& w) const {
   if (w.demand.need.gpus == 0 && r.free.gpus < types_[r.type].total.gpus && !only_beside_gpu_work(w))
     return false;
   return w.demand.passed_over && !r.booting && !r.empty && r.share != w.share && !draining_.contains(r.id) &&
@@ -318,7 +318,7 @@
 }
 
 /// Lower ranks make way at once; the same or higher ones may end, and nothing more is placed there.
-void Renter::drain_roomy(Plan& plan, Room& r, const Want& w) {
+void Provisioner::drain_roomy(Plan& plan, Room& r, const Want& w) {
   const bool lower = r.top_rank < w.demand.rank;
   draining_[r.id] = {w.share, plan.now + (lower ? kDrainTime : kRunEmpty)};
   plan.actions.emplace_back(Move{r.id, r.share, w.share, true, lower ? w.demand.rank : wire::Rank::low});
@@ -329,7 +329,7 @@
 
 /// A job that was passed over for long while another share has room beside what runs on its machines: the one
 /// with the least on it makes way. Else it would wait as long as that share has anything to do.
-void Renter::take_roomy(Plan& plan, Want& w) {
+void Provisioner::take_roomy(Plan& plan, Want& w) {
   if (!w.demand.passed_over) return;
   while (w.left > 0) {
     Room* best = nullptr;
@@ -350,7 +350,7 @@
 }
 
 /// What runs there may take longer than a drain lasts.
-void Renter::keep_draining(Plan& plan, const Want& w) {
+void Provisioner::keep_draining(Plan& plan, const Want& w) {
   if (!w.demand.passed_over) return;
   for (auto& [id, d] : draining_) {
     if (d.first != w.share || d.second - plan.now > kDrainOn) continue;
@@ -364,7 +364,7 @@
 }
 
 /// No other machine could ever hold it.
-bool Renter::only_beside_gpu_work(const Want& w) const {
+bool Provisioner::only_beside_gpu_work(const Want& w) const {
   for (std::size_t t = 0; t < types_.size(); ++t)
     if (!gpu_wanted_[t] && rooms_in(w.demand, types_[t].total) > 0 && (t >= 64 || w.demand.types >> t & 1))
       return false;
@@ -374,7 +374,8 @@
 // ---------------------------------------------------------------- renting
 
 /// Offers that may be asked now, the cheapest per task first.
-std::vector<Renter::Offer> Renter::offers(const Want& w, Micros now, const std::string& only_zone) const {
+std::vector<Provisioner::Offer> Provisioner::offers(const Want& w, Micros now,
+                                                    const std::string& only_zone) const {
   std::vector<Offer> all;
   for (std::size_t t = 0; t < types_.size(); ++t) {
     const auto fits = rooms_in(w.demand, types_[t].total);
@@ -402,14 +403,14 @@
   return all;
 }
 
-bool Renter::can_wait(const share::Demand& d) {
+bool Provisioner::can_wait(const share::Demand& d) {
   return d.shape == wire::Shape::array && d.rank < wire::Rank::high;
 }
 
 /// How many more tasks should find room. Work that can wait runs in several rounds on fewer machines; dear
 /// ones are for what the others, earliest first, would not do in time. (Each job by itself would want several
 /// times as much: those that must be done later use the machines of those before them.)
-std::uint32_t Renter::wanted(const Plan& plan, const Want& w, bool dear) const {
+std::uint32_t Provisioner::wanted(const Plan& plan, const Want& w, bool dear) const {
   if (!can_wait(w.demand)) return w.left;
   auto b = plan.backlogs.find(w.share);
   if (b == plan.backlogs.end()) return 0;
@@ -421,7 +422,7 @@
   return static_cast<std::uint32_t>(std::clamp(slots, 0.0, static_cast<double>(w.left)));
 }
 
-void Renter::rent(Plan& plan, const Offer& o, int count, Want& w) {
+void Provisioner::rent(Plan& plan, const Offer& o, int count, Want& w) {
   const Rent rent{o.type, o.zone, o.spot, count, w.share};
   asked_.push_back(rent);
   ++plan.rents;
@@ -435,7 +436,7 @@
   }
 }
 
-void Renter::rent_for(Plan& plan, Want& w) {
+void Provisioner::rent_for(Plan& plan, Want& w) {
   // The cheapest known price is the measure, whether or not it can be had just now.
   double cheapest = 1e18;
   for (std::size_t t = 0; t < types_.size(); ++t)
@@ -475,7 +476,7 @@
 
 /// A gang runs whole or not at all, and mostly in one zone: machines are moved or rented for it only where
 /// all of it will fit, or shares would pass machines back and forth that help neither.
-void Renter::serve_gang(Plan& plan, Want& w) {
+void Provisioner::serve_gang(Plan& plan, Want& w) {
   struct Choice {
     std::string zone;
     std::uint32_t own = 0, coming = 0, move = 0;
@@ -547,7 +548,7 @@
   rent(plan, o, std::min(kMostAtOnce, static_cast<int>((w.left + o.fits - 1) / o.fits)), w);
 }
 
-void Renter::serve(Plan& plan, Want& w) {
+void Provisioner::serve(Plan& plan, Want& w) {
   if (w.demand.shape == wire::Shape::gang) {
     keep_draining(plan, w);
     return w.left > 0 ? serve_gang(plan, w) : void();
@@ -576,7 +577,7 @@
 /// Work that can wait waits in one share while another's is done as soon as it comes: machines that run only
 /// such work there take no more of it, and when they are empty they move. Without this a share that was first
 /// keeps its machines, since they are hardly ever empty.
-void Renter::level(Plan& plan) {
+void Provisioner::level(Plan& plan) {
   if (settings_.level_above == 0 || plan.now < next_level_) return;
   next_level_ = plan.now + kSecond;
   struct Side {
@@ -637,7 +638,7 @@
 
 // ---------------------------------------------------------------- giving back
 
-void Renter::give_back(Plan& plan) {
+void Provisioner::give_back(Plan& plan) {
   // A dear machine whose share has room enough elsewhere takes no more tasks, and goes back when it is empty.
   for (const auto& r : plan.rooms) {
     if (plan.now < next_gentle_ || r.booting || r.empty || plan.wanting.contains(r.share) ||
@@ -682,8 +683,8 @@
   }
 }
 
-std::vector<Action> Renter::tick(Micros now, const std::vector<ShareSaid>& shares,
-                                 const std::map<std::string, MachineRecord>& records) {
+std::vector<Action> Provisioner::tick(Micros now, const std::vector<ShareSaid>& shares,
+                                      const std::map<std::string, MachineRecord>& records) {
   Plan plan;
   plan.now = now;
   condemn_lost(plan, records);
--- a/src/fleet/renter.h
+++ b/src/fleet/provisioner.h
@@ -63,10 +63,10 @@
   std::uint64_t epoch_ = 0, count_ = 0;
 };
 
-class Renter {
+class Provisioner {
  public:
-  Renter(const wire::PlatformSettings& platform, const std::vector<wire::MachineType>& types,
-         RenterSettings settings)
+  Provisioner(const wire::PlatformSettings& platform, const std::vector<wire::MachineType>& types,
+              RenterSettings settings)
       : platform_(platform), types_(types), settings_(settings) {}
 
   void listed(const std::vector<wire::CloudMachine>& machines,
--- a/tests/renter_test.cpp
+++ b/tests/provisioner_test.cpp
@@ -1,4 +1,4 @@
-#include "fleet/renter.h"
+#include "fleet/provisioner.h"
 
 #include <gtest/gtest.h>
 
@@ -9,11 +9,11 @@
 namespace aspenwick::fleet {
 namespace {
 
-class RenterTest : public ::testing::Test {
+class ProvisionerTest : public ::testing::Test {
  protected:
   wire::PlatformSettings platform_ = wire::parse_settings(testing::settings_json().dump());
   std::vector<wire::MachineType> types_ = testing::machine_types();
-  Renter renter_{platform_, types_, {}};
+  Provisioner provisioner_{platform_, types_, {}};
   std::map<std::string, MachineRecord> records_;
   Micros now_ = 100 * kSecond;
 
@@ -42,38 +42,38 @@
   }
 };
 
-TEST_F(RenterTest, RentsSpotWhereAllowedAndEnough) {
+TEST_F(ProvisionerTest, RentsSpotWhereAllowedAndEnough) {
   const auto rents =
-      only<Rent>(renter_.tick(now_, {{0, true, {demand(2, 8, true, wire::Rank::high)}, {}}}, records_));
+      only<Rent>(provisioner_.tick(now_, {{0, true, {demand(2, 8, true, wire::Rank::high)}, {}}}, records_));
   ASSERT_EQ(rents.size(), 1U);
   EXPECT_TRUE(rents[0].spot);
   EXPECT_EQ(rents[0].count, 2);  // four tasks of 2 CPUs to a machine
-  Renter other{platform_, types_, {}};
+  Provisioner other{platform_, types_, {}};
   EXPECT_FALSE(
       only<Rent>(other.tick(now_, {{0, true, {demand(2, 8, false, wire::Rank::high)}, {}}}, records_))[0]
           .spot);
 }
 
-TEST_F(RenterTest, ARefusedOfferIsNotAskedAgainAtOnce) {
+TEST_F(ProvisionerTest, ARefusedOfferIsNotAskedAgainAtOnce) {
   const std::vector<ShareSaid> said{{0, true, {demand(2, 4, true, wire::Rank::high)}, {}}};
-  const auto first = only<Rent>(renter_.tick(now_, said, records_));
-  renter_.rented(first[0], 503, {}, now_);
-  const auto second = only<Rent>(renter_.tick(now_, said, records_));
+  const auto first = only<Rent>(provisioner_.tick(now_, said, records_));
+  provisioner_.rented(first[0], 503, {}, now_);
+  const auto second = only<Rent>(provisioner_.tick(now_, said, records_));
   ASSERT_EQ(second.size(), 1U);
   EXPECT_NE(second[0].zone + (second[0].spot ? "s" : ""), first[0].zone + (first[0].spot ? "s" : ""));
 }
 
-TEST_F(RenterTest, BootingMachinesCountAsRoomAndStragglersAreDeleted) {
+TEST_F(ProvisionerTest, BootingMachinesCountAsRoomAndStragglersAreDeleted) {
   const std::vector<ShareSaid> said{{0, true, {demand(2, 4, true, wire::Rank::high)}, {}}};
-  const auto rent = only<Rent>(renter_.tick(now_, said, records_));
-  renter_.rented(rent[0], 200, {"i-000001"}, now_);
-  EXPECT_TRUE(only<Rent>(renter_.tick(now_, said, records_)).empty());
-  const auto late = only<Delete>(renter_.tick(now_ + 300 * kSecond, said, records_));
+  const auto rent = only<Rent>(provisioner_.tick(now_, said, records_));
+  provisioner_.rented(rent[0], 200, {"i-000001"}, now_);
+  EXPECT_TRUE(only<Rent>(provisioner_.tick(now_, said, records_)).empty());
+  const auto late = only<Delete>(provisioner_.tick(now_ + 300 * kSecond, said, records_));
   ASSERT_EQ(late.size(), 1U);
   EXPECT_EQ(late[0].machines, std::vector<std::string>{"i-000001"});
 }
 
-TEST_F(RenterTest, AShareWithFarMoreWorkInHandGetsMachinesThatRunEmpty) {
+TEST_F(ProvisionerTest, AShareWithFarMoreWorkInHandGetsMachinesThatRunEmpty) {
   // Machines on which a share's own short work comes and goes are hardly ever empty: without this, a share
   // that was first kept hundreds while thousands of tasks waited in another.
   ShareSaid rich{0, true, {demand(2, 0, true, wire::Rank::low)}, {}};
@@ -87,7 +87,7 @@
   }
   ShareSaid poor{1, true, {demand(2, 500, true, wire::Rank::low)}, {}};
   poor.demands[0].running = 10;
-  auto moves = only<Move>(renter_.tick(now_, {rich, poor}, records_));
+  auto moves = only<Move>(provisioner_.tick(now_, {rich, poor}, records_));
   ASSERT_FALSE(moves.empty());
   EXPECT_LE(moves.size(), 2U);  // a few at a time
   EXPECT_EQ(moves[0].to, 1);
@@ -96,48 +96,48 @@
   EXPECT_EQ(moves[0].machine, "i-000001");    // not that which a replica keeps, nor a full one
   std::set<std::string> given;
   for (int i = 0; i < 60; ++i)
-    for (const auto& m : only<Move>(renter_.tick(now_ += kSecond / 2, {rich, poor}, records_)))
+    for (const auto& m : only<Move>(provisioner_.tick(now_ += kSecond / 2, {rich, poor}, records_)))
       given.insert(m.machine);
   EXPECT_LE(given.size(), 4U);  // half of what it has, at most, and never full ones
   // Not while the share that would give has nearly as much in hand.
-  Renter other{platform_, types_, {}};
+  Provisioner other{platform_, types_, {}};
   rich.demands[0].waiting = 900;
   EXPECT_TRUE(only<Move>(other.tick(now_, {rich, poor}, records_)).empty());
 }
 
-TEST_F(RenterTest, AnEmptyMachineMovesToWorkThatWaits) {
+TEST_F(ProvisionerTest, AnEmptyMachineMovesToWorkThatWaits) {
   const ShareSaid idle{0, true, {}, {machine("i-000001", 0, 3 * kSecond)}};
   const ShareSaid busy{1, true, {demand(2, 4, true, wire::Rank::low)}, {}};
-  const auto actions = renter_.tick(now_, {idle, busy}, records_);
+  const auto actions = provisioner_.tick(now_, {idle, busy}, records_);
   ASSERT_EQ(only<Move>(actions).size(), 1U);
   EXPECT_EQ(only<Move>(actions)[0].to, 1);
   EXPECT_TRUE(only<Rent>(actions).empty());
 }
 
-TEST_F(RenterTest, IdleAndLapsedMachinesGoBack) {
+TEST_F(ProvisionerTest, IdleAndLapsedMachinesGoBack) {
   auto idle = machine("i-000001", 0, 60 * kSecond);
   auto lapsed = machine("i-000002", 0, 20 * kSecond);
   lapsed.usable = false, lapsed.lapsed = true;
   auto busy = machine("i-000003", 0, 0);
   busy.empty = false;
-  const auto moves = only<Move>(renter_.tick(now_, {{0, true, {}, {idle, lapsed, busy}}}, records_));
+  const auto moves = only<Move>(provisioner_.tick(now_, {{0, true, {}, {idle, lapsed, busy}}}, records_));
   ASSERT_EQ(moves.size(), 2U);
   for (const auto& m : moves) EXPECT_EQ(m.to, -1);
   // Only when its holder has let it go is it deleted.
-  EXPECT_TRUE(only<Delete>(renter_.tick(now_, {}, records_)).empty());
+  EXPECT_TRUE(only<Delete>(provisioner_.tick(now_, {}, records_)).empty());
   records_["i-000001"].share = -1;
-  EXPECT_EQ(only<Delete>(renter_.tick(now_, {}, records_)).size(), 1U);
+  EXPECT_EQ(only<Delete>(provisioner_.tick(now_, {}, records_)).size(), 1U);
 }
 
-TEST_F(RenterTest, MachinesOfAFormerLeaderAreFoundInTheList) {
-  renter_.listed({{"i-000009", "", "cpu8", "z1", "booting", true, 10 * kSecond}}, records_, now_);
+TEST_F(ProvisionerTest, MachinesOfAFormerLeaderAreFoundInTheList) {
+  provisioner_.listed({{"i-000009", "", "cpu8", "z1", "booting", true, 10 * kSecond}}, records_, now_);
   EXPECT_TRUE(
-      only<Rent>(renter_.tick(now_, {{0, true, {demand(2, 4, true, wire::Rank::high)}, {}}}, records_))
+      only<Rent>(provisioner_.tick(now_, {{0, true, {demand(2, 4, true, wire::Rank::high)}, {}}}, records_))
           .empty());
-  EXPECT_TRUE(renter_.has_booting());
+  EXPECT_TRUE(provisioner_.has_booting());
 }
 
-TEST_F(RenterTest, AGangGetsMachinesOnlyWhereAllOfItFits) {
+TEST_F(ProvisionerTest, AGangGetsMachinesOnlyWhereAllOfItFits) {
   // Two machines each in z1 and z2 of another share: a gang of three would get a move every tick and never
   // start.
   ShareSaid idle{0, true, {}, {}};
@@ -148,44 +148,44 @@
   d.shape = wire::Shape::gang, d.one_zone = true;
   for (const auto& t : types_)
     for (const auto& z : t.zones)
-      for (const bool spot : {true, false}) renter_.rented({0, z, spot, 1, -1}, 503, {}, now_);
+      for (const bool spot : {true, false}) provisioner_.rented({0, z, spot, 1, -1}, 503, {}, now_);
   d.types = 1;
-  const auto none = renter_.tick(now_, {idle, {1, true, {d}, {}}}, records_);
+  const auto none = provisioner_.tick(now_, {idle, {1, true, {d}, {}}}, records_);
   EXPECT_TRUE(only<Move>(none).empty());
   d.waiting = 2;
-  const auto two = only<Move>(renter_.tick(now_, {idle, {1, true, {d}, {}}}, records_));
+  const auto two = only<Move>(provisioner_.tick(now_, {idle, {1, true, {d}, {}}}, records_));
   ASSERT_EQ(two.size(), 2U);
   EXPECT_EQ(records_[two[0].machine].zone, records_[two[1].machine].zone);
 }
 
-TEST_F(RenterTest, RentsInBulkWithinTheZoneLimit) {
+TEST_F(ProvisionerTest, RentsInBulkWithinTheZoneLimit) {
   // Ninety services at a cold start, told as one demand: machines come by the dozen, half of the tasks a
   // zone.
   share::Demand d = demand(1, 96, false, wire::Rank::production);
   d.shape = wire::Shape::service, d.per_zone = 48;
-  const auto rents = only<Rent>(renter_.tick(now_, {{0, true, {d}, {}}}, records_));
+  const auto rents = only<Rent>(provisioner_.tick(now_, {{0, true, {d}, {}}}, records_));
   ASSERT_EQ(rents.size(), 2U);
   EXPECT_NE(rents[0].zone, rents[1].zone);
   EXPECT_EQ(rents[0].count + rents[1].count, 12);
   // Not yet answered, they count as coming.
-  EXPECT_TRUE(only<Rent>(renter_.tick(now_, {{0, true, {d}, {}}}, records_)).empty());
+  EXPECT_TRUE(only<Rent>(provisioner_.tick(now_, {{0, true, {d}, {}}}, records_)).empty());
 }
 
-TEST_F(RenterTest, WorkWithSlackDoesNotRentDearMachines) {
+TEST_F(ProvisionerTest, WorkWithSlackDoesNotRentDearMachines) {
   // Ordinary machines cost 0.8 and spot ones 0.3 for eight tasks; GPU machines ten times as much.
   share::Demand d = demand(1, 60, true, wire::Rank::low);
   d.slack_ms = 240'000;
   for (const auto& z : types_[0].zones)
-    for (const bool spot : {true, false}) renter_.rented({0, z, spot, 1, -1}, 503, {}, now_);
-  EXPECT_FALSE(only<Rent>(renter_.tick(now_, {{0, true, {d}, {}}}, records_)).empty());
-  Renter other{platform_, types_, {}};
+    for (const bool spot : {true, false}) provisioner_.rented({0, z, spot, 1, -1}, 503, {}, now_);
+  EXPECT_FALSE(only<Rent>(provisioner_.tick(now_, {{0, true, {d}, {}}}, records_)).empty());
+  Provisioner other{platform_, types_, {}};
   for (const auto& z : types_[0].zones)
     for (const bool spot : {true, false}) other.rented({0, z, spot, 1, -1}, 503, {}, now_);
   d.running = 16;  // in 144 s these do it
   EXPECT_TRUE(only<Rent>(other.tick(now_, {{0, true, {d}, {}}}, records_)).empty());
 }
 
-TEST_F(RenterTest, LaterWorkUsesTheMachinesOfEarlierWork) {
+TEST_F(ProvisionerTest, LaterWorkUsesTheMachinesOfEarlierWork) {
   // Four jobs of 40 tasks due one after another: 16 slots do all of it in time, earliest first. Each by
   // itself they would want twice as many, on dear machines.
   ShareSaid said{0, true, {}, {}};
@@ -196,23 +196,24 @@
   }
   said.demands[0].running = 16;
   for (const auto& z : types_[0].zones)
-    for (const bool spot : {true, false}) renter_.rented({0, z, spot, 1, -1}, 503, {}, now_);
-  EXPECT_TRUE(only<Rent>(renter_.tick(now_, {said}, records_)).empty());
+    for (const bool spot : {true, false}) provisioner_.rented({0, z, spot, 1, -1}, 503, {}, now_);
+  EXPECT_TRUE(only<Rent>(provisioner_.tick(now_, {said}, records_)).empty());
 }
 
-TEST_F(RenterTest, UrgentProductionGetsAMachineOfLowerRanksRatherThanABootingOne) {
+TEST_F(ProvisionerTest, UrgentProductionGetsAMachineOfLowerRanksRatherThanABootingOne) {
   share::Demand d = demand(2, 2, false, wire::Rank::production);
   d.shape = wire::Shape::service, d.slack_ms = 4'000;
   auto low = machine("i-000001", 0, 0);
   low.empty = false, low.free = {};
-  renter_.listed({{"i-000009", "", "cpu8", "z1", "booting", false, 2 * kSecond}}, records_, now_);
-  const auto moves = only<Move>(renter_.tick(now_, {{0, true, {}, {low}}, {1, true, {d}, {}}}, records_));
+  provisioner_.listed({{"i-000009", "", "cpu8", "z1", "booting", false, 2 * kSecond}}, records_, now_);
+  const auto moves =
+      only<Move>(provisioner_.tick(now_, {{0, true, {}, {low}}, {1, true, {d}, {}}}, records_));
   ASSERT_EQ(moves.size(), 1U);
   EXPECT_TRUE(moves[0].drain);
   EXPECT_EQ(moves[0].to, 1);
 }
 
-TEST_F(RenterTest, SpotGpuMachinesStayForAWhileWhereGangsOnOrdinaryOnesCanMoveToThem) {
+TEST_F(ProvisionerTest, SpotGpuMachinesStayForAWhileWhereGangsOnOrdinaryOnesCanMoveToThem) {
   share::Demand d = demand(1, 1, true, wire::Rank::normal);
   d.need.gpus = wire::to_units(4), d.types = 2, d.shape = wire::Shape::gang;
   auto spot = machine("i-000001", 0, 60 * kSecond);
@@ -220,25 +221,25 @@
   records_["i-000001"].type = records_["i-000002"].type = "gpu4";
   records_["i-000001"].spot = true;
   spot.free = types_[1].total, plain.free = {}, plain.empty = false, plain.top_rank = wire::Rank::normal;
-  renter_.tick(now_, {{0, true, {d}, {}}}, records_);  // learns that the type is wanted
-  EXPECT_TRUE(only<Move>(renter_.tick(now_, {{0, true, {}, {spot, plain}}}, records_)).empty());
-  EXPECT_EQ(only<Move>(renter_.tick(now_, {{0, true, {}, {spot}}}, records_)).size(), 1U);
+  provisioner_.tick(now_, {{0, true, {d}, {}}}, records_);  // learns that the type is wanted
+  EXPECT_TRUE(only<Move>(provisioner_.tick(now_, {{0, true, {}, {spot, plain}}}, records_)).empty());
+  EXPECT_EQ(only<Move>(provisioner_.tick(now_, {{0, true, {}, {spot}}}, records_)).size(), 1U);
   // Left over in one share, it goes to the one whose gang runs on an ordinary machine.
   records_["i-000002"].share = 1;
   const auto moves =
-      only<Move>(renter_.tick(now_, {{0, true, {}, {spot}}, {1, true, {}, {plain}}}, records_));
+      only<Move>(provisioner_.tick(now_, {{0, true, {}, {spot}}, {1, true, {}, {plain}}}, records_));
   ASSERT_EQ(moves.size(), 1U);
   EXPECT_EQ(moves[0].to, 1);
   records_["i-000002"].share = 0;
   // Unused for long, it goes back all the same.
   spot.idle_ms = 300'000;
-  EXPECT_EQ(only<Move>(renter_.tick(now_, {{0, true, {}, {spot, plain}}}, records_)).size(), 1U);
+  EXPECT_EQ(only<Move>(provisioner_.tick(now_, {{0, true, {}, {spot, plain}}}, records_)).size(), 1U);
 }
 
 // Its own share has nothing left, the cloud neither: another share's machine with room, which never ran
 // empty, takes no more and comes to it. Not before it was passed over for long, and not where GPUs are in
 // use.
-TEST_F(RenterTest, AJobThatWasPassedOverGetsRoomThatAnotherShareLeavesUnused) {
+TEST_F(ProvisionerTest, AJobThatWasPassedOverGetsRoomThatAnotherShareLeavesUnused) {
   share::Demand d = demand(2, 1, false, wire::Rank::low);
   auto busy = machine("i-000001", 0, 0), busier = machine("i-000002", 0, 0), gpu = machine("i-000003", 0, 0);
   records_["i-000003"].type = "gpu4";
@@ -251,9 +252,9 @@
   for (const auto& t : types_)
     for (const auto& z : t.zones)
       for (const bool spot : {false, true})
-        renter_.rented({t.name == "cpu8" ? 0U : 1U, z, spot, 1, 0}, 503, {}, now_);
+        provisioner_.rented({t.name == "cpu8" ? 0U : 1U, z, spot, 1, 0}, 503, {}, now_);
   auto moves = [&](Micros now) {
-    return only<Move>(renter_.tick(now, {{0, true, {training}, others}, {1, true, {d}, {}}}, records_));
+    return only<Move>(provisioner_.tick(now, {{0, true, {training}, others}, {1, true, {d}, {}}}, records_));
   };
   EXPECT_TRUE(moves(now_).empty());
   d.passed_over = true;
@@ -272,14 +273,14 @@
 }
 
 // Machines that GPU work wants are not rented for other work, but where no other could hold it.
-TEST_F(RenterTest, WorkThatOnlyGpuMachinesHoldGetsOneWhileGpuWorkWaits) {
+TEST_F(ProvisionerTest, WorkThatOnlyGpuMachinesHoldGetsOneWhileGpuWorkWaits) {
   share::Demand training = demand(1, 1, true, wire::Rank::normal);
   training.need.gpus = wire::to_units(4), training.types = 2, training.shape = wire::Shape::gang;
   share::Demand large = demand(12, 1, true, wire::Rank::normal);
   large.shape = wire::Shape::gang, large.types = 2;
-  renter_.tick(now_, {{0, true, {training}, {}}}, records_);  // learns that the type is wanted
+  provisioner_.tick(now_, {{0, true, {training}, {}}}, records_);  // learns that the type is wanted
   int rented = 0;
-  for (const auto& r : only<Rent>(renter_.tick(now_ + kSecond, {{1, true, {large}, {}}}, records_)))
+  for (const auto& r : only<Rent>(provisioner_.tick(now_ + kSecond, {{1, true, {large}, {}}}, records_)))
     rented += r.count;
   EXPECT_EQ(rented, 1);
 }
@@ -294,11 +295,11 @@
   EXPECT_EQ(names.next(9), "e9-2");
 }
 
-TEST_F(RenterTest, AMachineThatIsUpIsNoStraggler) {
+TEST_F(ProvisionerTest, AMachineThatIsUpIsNoStraggler) {
   auto up = machine("i-000001", 0, 0);
   up.empty = false;
-  renter_.rented({0, "z1", false, 1, 0}, 200, {"i-000001"}, now_);
-  EXPECT_TRUE(only<Delete>(renter_.tick(now_ + 300 * kSecond, {{0, true, {}, {up}}}, records_)).empty());
+  provisioner_.rented({0, "z1", false, 1, 0}, 200, {"i-000001"}, now_);
+  EXPECT_TRUE(only<Delete>(provisioner_.tick(now_ + 300 * kSecond, {{0, true, {}, {up}}}, records_)).empty());
 }
 
 }  // namespace
