--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -40,10 +40,10 @@
                   peer_desk_.cancellation_known(id, revision);
                 }}),
       keeper_(platform, ops, {loop_, store_, records_, [this] { poke(); }}),
-      recorder_(platform, {loop_, store_, records_, keeper_, [this] { poke(); }}),
+      result_writer_(platform, {loop_, store_, records_, keeper_, [this] { poke(); }}),
       peer_desk_(platform, needs.incarnation,
                  {loop_, needs.peers, store_, records_, keeper_,
-                  [this](const std::string& m, int to) { recorder_.move_machine(m, to); },
+                  [this](const std::string& m, int to) { result_writer_.move_machine(m, to); },
                   [this](const share::StatusTell& t) { users_desk_.told(t); }, [this] { poke(); }}),
       leader_(platform, ops.renting, records_.types(), records_.machines(),
               {[this] { return loop_.now(); }, needs.http, [this] { return peer_desk_.all_shares(); },
@@ -162,9 +162,9 @@
     for (const Micros w : held.holder->take_waits()) waits_.add(w);
   }
   for (auto& [s, held] : keeper_.held())
-    for (const auto& [machine, to] : held.holder->drained()) recorder_.move_machine(machine, to);
+    for (const auto& [machine, to] : held.holder->drained()) result_writer_.move_machine(machine, to);
   workers_desk_.push_orders();
-  recorder_.tick();
+  result_writer_.tick();
   if (more) poke();
 }
 
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -9,8 +9,8 @@
 #include "app/leader.h"
 #include "app/operator_settings.h"
 #include "app/peer_desk.h"
-#include "app/recorder.h"
 #include "app/records.h"
+#include "app/result_writer.h"
 #include "app/users_desk.h"
 #include "app/workers_desk.h"
 #include "net/exchange.h"
@@ -57,7 +57,7 @@
   store::Client store_;
   Records records_;
   Keeper keeper_;
-  Recorder recorder_;
+  ResultWriter result_writer_;
   PeerDesk peer_desk_;
   Leader leader_;
   UsersDesk users_desk_;
--- a/src/app/recorder.cpp
+++ b/src/app/result_writer.cpp
@@ -1,4 +1,4 @@
-#include "app/recorder.h"
+#include "app/result_writer.h"
 
 #include <spdlog/spdlog.h>
 
@@ -26,7 +26,7 @@
 std::string holder_key(int share) { return kHolder + std::to_string(share); }
 }  // namespace
 
-void Recorder::tick() {
+void ResultWriter::tick() {
   finish_jobs();
   cancel_doomed();
   const bool all_new = needs_.records.all_read_units();
@@ -36,7 +36,7 @@
 
 /// Done-sets are written at a pace that leaves most changes to users and machines; until then the workers
 /// keep the results. A finished job's own record says it all.
-void Recorder::write_done() {
+void ResultWriter::write_done() {
   const Micros t = needs_.loop.now();
   const auto shares = static_cast<double>(needs_.keeper.ownership().shares());
   const double pace =
@@ -71,7 +71,7 @@
 }
 
 /// Perhaps executed: the key's version must be read before the next try.
-void Recorder::wrote_done(int s, std::uint64_t made, const share::Holder::DoneWrite& w) {
+void ResultWriter::wrote_done(int s, std::uint64_t made, const share::Holder::DoneWrite& w) {
   needs_.store.get(progress_key(s, w.job, w.row), store::Urgency::read,
                    [this, s, made, w](int code, const wire::Row& row) {
                      Keeper::Held* h = needs_.keeper.find(s, made);
@@ -81,7 +81,7 @@
                    });
 }
 
-void Recorder::finish_jobs() {
+void ResultWriter::finish_jobs() {
   for (auto& [s, held] : needs_.keeper.held()) {
     if (!needs_.keeper.may_start(held)) continue;
     for (const auto& id : held.holder->complete_jobs()) {
@@ -93,7 +93,7 @@
   }
 }
 
-void Recorder::finished(int s, std::uint64_t made, const std::string& id) {
+void ResultWriter::finished(int s, std::uint64_t made, const std::string& id) {
   const Keeper::Held& held = *needs_.keeper.find(s, made);
   job::JobRecord record = *needs_.records.job(id);
   record.status = JobStatus::done;
@@ -128,13 +128,13 @@
 
 /// The records below a cancelled job follow what users are told already: in batches, by whoever holds the
 /// share.
-void Recorder::cancel_doomed() {
+void ResultWriter::cancel_doomed() {
   if (cancelling_ || needs_.records.graph().to_cancel().empty() || !needs_.store.writes_spare()) return;
   for (auto& [s, held] : needs_.keeper.held())
     if (needs_.keeper.may_start(held) && cancel_doomed(s, held)) return;
 }
 
-bool Recorder::cancel_doomed(int s, const Keeper::Held& held) {
+bool ResultWriter::cancel_doomed(int s, const Keeper::Held& held) {
   std::vector<wire::Guard> guards{{holder_key(s), held.key_version}};
   std::vector<wire::Write> writes;
   std::vector<std::string> ids;
@@ -172,7 +172,7 @@
   return true;
 }
 
-void Recorder::move_machine(const std::string& machine, int to) {
+void ResultWriter::move_machine(const std::string& machine, int to) {
   const auto* known = needs_.records.machine(machine);
   if (!known || to >= needs_.keeper.ownership().shares() || to == known->share) return;
   Keeper::Held* held = needs_.keeper.find(known->share);
@@ -196,8 +196,8 @@
 
 /// Until it is known whether the machine has moved: a request that got lost left it to nobody, and paid for.
 /// `unsure`: an earlier try may be executed yet; it is guarded by the same rows.
-void Recorder::commit_move(share::MachineRecord m, int from, std::uint64_t made, std::uint64_t key_version,
-                           bool unsure) {
+void ResultWriter::commit_move(share::MachineRecord m, int from, std::uint64_t made,
+                               std::uint64_t key_version, bool unsure) {
   const std::string id = m.id;
   Keeper::Held* held = needs_.keeper.find(from, made);
   const auto* known = needs_.records.machine(id);
@@ -226,7 +226,7 @@
 }
 
 /// Surely not moved: it is used again.
-void Recorder::stay(const std::string& machine, int from) {
+void ResultWriter::stay(const std::string& machine, int from) {
   moving_.erase(machine);
   if (auto* held = needs_.keeper.find(from)) held->holder->keep(machine);
 }
--- a/src/app/recorder.h
+++ b/src/app/result_writer.h
@@ -13,7 +13,7 @@
 
 namespace aspenwick::app {
 
-class Recorder {
+class ResultWriter {
  public:
   struct Needs {
     net::Loop& loop;
@@ -22,7 +22,7 @@
     Keeper& keeper;
     std::function<void()> poke;
   };
-  Recorder(const wire::PlatformSettings& platform, Needs needs)
+  ResultWriter(const wire::PlatformSettings& platform, Needs needs)
       : platform_(platform), needs_(std::move(needs)) {}
 
   /// After each pass of the holders.
