--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -37,36 +37,36 @@
                {loop_, store_,
                 [this](const std::string& id, const job::JobRecord& record) { keeper_.job_seen(id, record); },
                 [this](const std::string& id, std::uint64_t revision) {
-                  peer_desk_.cancellation_known(id, revision);
+                  peer_service_.cancellation_known(id, revision);
                 }}),
       keeper_(platform, ops, {loop_, store_, records_, [this] { poke(); }}),
       result_writer_(platform, {loop_, store_, records_, keeper_, [this] { poke(); }}),
-      peer_desk_(platform, needs.incarnation,
-                 {loop_, needs.peers, store_, records_, keeper_,
-                  [this](const std::string& m, int to) { result_writer_.move_machine(m, to); },
-                  [this](const share::StatusTell& t) { users_desk_.told(t); }, [this] { poke(); }}),
+      peer_service_(platform, needs.incarnation,
+                    {loop_, needs.peers, store_, records_, keeper_,
+                     [this](const std::string& m, int to) { result_writer_.move_machine(m, to); },
+                     [this](const share::StatusTell& t) { job_api_.told(t); }, [this] { poke(); }}),
       leader_(platform, ops.renting, records_.types(), records_.machines(),
-              {[this] { return loop_.now(); }, needs.http, [this] { return peer_desk_.all_shares(); },
+              {[this] { return loop_.now(); }, needs.http, [this] { return peer_service_.all_shares(); },
                [this](const auto& types) { records_.write_types(types); },
-               [this](const fleet::Move& move) { peer_desk_.give(move); },
+               [this](const fleet::Move& move) { peer_service_.give(move); },
                [this](const auto& ids) { records_.forget_machines(ids); }}),
-      users_desk_(platform, needs.incarnation,
-                  {loop_, store_, needs.peers, records_, keeper_,
-                   [this](const std::string& job) { peer_desk_.cancelled(job); }, [this] { poke(); }}),
-      workers_desk_(platform,
-                    {loop_, needs.workers, store_, records_, keeper_,
-                     [this](const wire::WorkerReport& r) {
-                       return leader_.share_for(r.machine, r.type, keeper_.ownership().shares());
-                     },
-                     [this](const std::string& m) { leader_.adopted(m); },
-                     [this](int share) { return peer_desk_.told_holder(share); }, [this] { poke(); }}) {
+      job_api_(platform, needs.incarnation,
+               {loop_, store_, needs.peers, records_, keeper_,
+                [this](const std::string& job) { peer_service_.cancelled(job); }, [this] { poke(); }}),
+      worker_api_(platform,
+                  {loop_, needs.workers, store_, records_, keeper_,
+                   [this](const wire::WorkerReport& r) {
+                     return leader_.share_for(r.machine, r.type, keeper_.ownership().shares());
+                   },
+                   [this](const std::string& m) { leader_.adopted(m); },
+                   [this](int share) { return peer_service_.told_holder(share); }, [this] { poke(); }}) {
   store_.observe([this](Micros took) { state_calls_.add(took); });
   store_.watch(kShared, {[this](const std::vector<wire::Row>& rows) { reset(rows); },
                          [this](const std::vector<wire::Row>& rows) { changed(rows); }});
   loop_.every(kTick, [this] { tick(); });
   keeper_.find_former();
-  loop_.every(kGossip, [this] { peer_desk_.gossip(); });
-  loop_.every(kHeartbeat, [this] { peer_desk_.heartbeat(); });
+  loop_.every(kGossip, [this] { peer_service_.gossip(); });
+  loop_.every(kHeartbeat, [this] { peer_service_.heartbeat(); });
   loop_.every(kLead, [this] { lead(); });
   loop_.every(kKeep, [this] { keeper_.tick(); });
   loop_.every(kReplan, [this] { replan(); });
@@ -79,9 +79,9 @@
   const std::string path = x->path();
   const bool get = x->method() == Method::get, post = x->method() == Method::post;
   static const std::string kJobs = "/v1/jobs";
-  if (path == kReportPath) return post ? workers_desk_.report(x) : x->refuse_method("POST");
+  if (path == kReportPath) return post ? worker_api_.report(x) : x->refuse_method("POST");
   if (path == "/ready") return get ? ready(x) : x->refuse_method("GET");
-  if (path == kJobs) return post ? users_desk_.submit(x) : x->refuse_method("POST");
+  if (path == kJobs) return post ? job_api_.submit(x) : x->refuse_method("POST");
   if (path.starts_with(kJobs + "/")) {
     std::string id = path.substr(kJobs.size() + 1);
     static const std::string kWithdraw = "/withdraw";
@@ -91,7 +91,7 @@
       return x->answer(404, wire::error_body("no such path"));
     if (to_cancel ? !post : !get) return x->refuse_method(to_cancel ? "POST" : "GET");
     if (!wire::valid_job_id(id)) return x->answer(404, wire::error_body("no such job"));
-    return to_cancel ? users_desk_.cancel(x, id) : users_desk_.status(x, id);
+    return to_cancel ? job_api_.cancel(x, id) : job_api_.status(x, id);
   }
   x->answer(404, wire::error_body("no such path"));
 }
@@ -106,7 +106,7 @@
 }
 
 void Controller::heard(const share::Frame& frame, const share::Peers::Reply& reply) {
-  peer_desk_.heard(frame, reply);
+  peer_service_.heard(frame, reply);
 }
 
 // ---------------------------------------------------------------- the watch
@@ -133,14 +133,14 @@
   }
   keeper_.sync();
   keeper_.tick();
-  peer_desk_.keys_seen();
+  peer_service_.keys_seen();
 }
 
 void Controller::changed(const std::vector<wire::Row>& rows) {
   for (const auto& r : rows) apply(r);
   records_.follow_graph();
   keeper_.sync();
-  peer_desk_.keys_seen();
+  peer_service_.keys_seen();
   poke();
 }
 
@@ -163,7 +163,7 @@
   }
   for (auto& [s, held] : keeper_.held())
     for (const auto& [machine, to] : held.holder->drained()) result_writer_.move_machine(machine, to);
-  workers_desk_.push_orders();
+  worker_api_.push_orders();
   result_writer_.tick();
   if (more) poke();
 }
@@ -171,7 +171,7 @@
 void Controller::lead() {
   // Until machine types are known no share can be told: nothing is rented before, and the leader asks for
   // them.
-  if (keeper_.leading() && (records_.types().empty() || peer_desk_.heard_all()))
+  if (keeper_.leading() && (records_.types().empty() || peer_service_.heard_all()))
     leader_.lead(keeper_.ownership().leader()->epoch);
   else
     leader_.rest();
@@ -211,9 +211,9 @@
                     place::to_string(static_cast<place::Invariant>(i)));
   spdlog::info("metrics: waits {}, planning {}, state calls {}", waits_.text(), planning_.text(),
                state_calls_.text());
-  spdlog::info("metrics: reports {} users {} jobs {} machines {} shares {}{}", workers_desk_.reports(),
-               users_desk_.requests(), records_.jobs().size(), records_.machines().size(),
-               keeper_.held().size(), keeper_.leading() ? " leader" : "");
+  spdlog::info("metrics: reports {} users {} jobs {} machines {} shares {}{}", worker_api_.reports(),
+               job_api_.requests(), records_.jobs().size(), records_.machines().size(), keeper_.held().size(),
+               keeper_.leading() ? " leader" : "");
 }
 
 }  // namespace aspenwick::app
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -4,15 +4,15 @@
 #include <string>
 #include <vector>
 
+#include "app/job_api.h"
 #include "app/keeper.h"
 #include "app/latency.h"
 #include "app/leader.h"
 #include "app/operator_settings.h"
-#include "app/peer_desk.h"
+#include "app/peer_service.h"
 #include "app/records.h"
 #include "app/result_writer.h"
-#include "app/users_desk.h"
-#include "app/workers_desk.h"
+#include "app/worker_api.h"
 #include "net/exchange.h"
 #include "net/loop.h"
 #include "share/peers.h"
@@ -58,10 +58,10 @@
   Records records_;
   Keeper keeper_;
   ResultWriter result_writer_;
-  PeerDesk peer_desk_;
+  PeerService peer_service_;
   Leader leader_;
-  UsersDesk users_desk_;
-  WorkersDesk workers_desk_;
+  JobApi job_api_;
+  WorkerApi worker_api_;
   bool tick_soon_ = false;
   Latency waits_, planning_, state_calls_;
 };
--- a/src/app/users_desk.cpp
+++ b/src/app/job_api.cpp
@@ -1,4 +1,4 @@
-#include "app/users_desk.h"
+#include "app/job_api.h"
 
 #include <spdlog/spdlog.h>
 
@@ -18,22 +18,22 @@
 constexpr std::size_t kTransactionRoom = 40'000;  // of the 64 KiB that a transaction may take
 }  // namespace
 
-void UsersDesk::retry(const ExchangePtr& x, const std::string& why) {
+void JobApi::retry(const ExchangePtr& x, const std::string& why) {
   spdlog::debug("user told to come again: {}", why);
   x->answer(503, wire::error_body(why), 1);
 }
 
-void UsersDesk::status(const ExchangePtr& x, const std::string& id) {
+void JobApi::status(const ExchangePtr& x, const std::string& id) {
   ++requests_;
   tell(x, id);
 }
 
-void UsersDesk::cancel(const ExchangePtr& x, const std::string& id) {
+void JobApi::cancel(const ExchangePtr& x, const std::string& id) {
   ++requests_;
   cancel(x, id, kCancelTries);
 }
 
-void UsersDesk::told(const share::StatusTell& t) {
+void JobApi::told(const share::StatusTell& t) {
   auto it = asks_.find(t.request);
   if (it == asks_.end()) return;
   const StatusWait wait = std::move(it->second);
@@ -43,14 +43,14 @@
   answer(wait.exchange, 200, wait.job);
 }
 
-void UsersDesk::note_tally(const std::string& id, Tally tally) {
+void JobApi::note_tally(const std::string& id, Tally tally) {
   if (tallies_.size() >= kMostTallies && !tallies_.contains(id)) tallies_.clear();
   tallies_[id] = tally;
 }
 
 /// Each answer that says how a job stands ends here: with the newest that this node knows at the moment at
 /// which it is given, however long what it waited for has taken.
-void UsersDesk::answer(const ExchangePtr& x, int code, const std::string& id) {
+void JobApi::answer(const ExchangePtr& x, int code, const std::string& id) {
   if (answer_final(x, id)) return;
   const auto it = tallies_.find(id);
   const Tally tally = it == tallies_.end() ? Tally{0, 0} : it->second;
@@ -58,7 +58,7 @@
                                     code == 201 ? std::nullopt : std::optional(tally)));
 }
 
-bool UsersDesk::answer_final(const ExchangePtr& x, const std::string& id) {
+bool JobApi::answer_final(const ExchangePtr& x, const std::string& id) {
   const auto* known = needs_.records.job(id);
   // Told from the graph as soon as the cancellation above it is known; its own record follows.
   const bool doomed = needs_.records.graph().doomed(id);
@@ -71,7 +71,7 @@
 /// No submission is refused for good before the state service has said that its id isn't there: it may be a
 /// retry of what another node accepted a moment ago, or a former version, or this one while the limits and
 /// the list of machine types were others. That gets the job's state.
-void UsersDesk::refuse(const ExchangePtr& x, int code, const std::string& id, const std::string& why) {
+void JobApi::refuse(const ExchangePtr& x, int code, const std::string& id, const std::string& why) {
   if (!wire::valid_job_id(id)) return x->answer(code, wire::error_body(why));
   if (!needs_.records.synced()) return retry(x, "starting");
   if (needs_.records.job(id)) return tell(x, id);
@@ -82,7 +82,7 @@
   });
 }
 
-void UsersDesk::submit(const ExchangePtr& x) {
+void JobApi::submit(const ExchangePtr& x) {
   ++requests_;
   auto s = std::make_shared<Submission>();
   s->exchange = x;
@@ -108,7 +108,7 @@
 
 /// Each needed job must have been accepted. What we don't know may have been accepted elsewhere just now:
 /// only the state service's word counts.
-void UsersDesk::check_needs(const std::shared_ptr<Submission>& s) {
+void JobApi::check_needs(const std::shared_ptr<Submission>& s) {
   static const std::string kService = "a service that it needs can never be done";
   const auto& needs = s->record.spec->needs;
   for (; s->next_need < needs.size(); ++s->next_need) {
@@ -139,7 +139,7 @@
   accept(s);
 }
 
-void UsersDesk::accept(const std::shared_ptr<Submission>& s) {
+void JobApi::accept(const std::shared_ptr<Submission>& s) {
   // The tag is new for each try: parts of a try that failed are never taken for this one's.
   // Nor those of our former process: the time of day may step back between the two, a late deletion of parts
   // of one of its tries may still be executed.
@@ -151,7 +151,7 @@
 }
 
 /// The parts first, in as many transactions as they take; the job is accepted with the record.
-void UsersDesk::write_record(const std::shared_ptr<Submission>& s) {
+void JobApi::write_record(const std::shared_ptr<Submission>& s) {
   const std::string id = s->record.spec->id;
   std::vector<wire::Guard> guards;
   std::vector<wire::Write> writes;
@@ -190,7 +190,7 @@
 }
 
 /// By another try, whose parts it has, or by this very one: only then are ours of use.
-void UsersDesk::accepted_before(const std::shared_ptr<Submission>& s) {
+void JobApi::accepted_before(const std::shared_ptr<Submission>& s) {
   const std::string id = s->record.spec->id;
   if (s->record.parts > 0)
     needs_.store.get(kJob + id, store::Urgency::background, [this, s, id](int code, const wire::Row& row) {
@@ -205,7 +205,7 @@
   tell(s->exchange, id);
 }
 
-void UsersDesk::tell(const ExchangePtr& x, const std::string& id) {
+void JobApi::tell(const ExchangePtr& x, const std::string& id) {
   if (answer_final(x, id)) return;
   if (!needs_.records.synced()) return retry(x, "starting");
   // What is not final may have become so elsewhere: only a fresh read may say that it has not. Of all records
@@ -224,14 +224,14 @@
 }
 
 /// Only the state service's own word makes a 404: a record that we could not read is there all the same.
-void UsersDesk::look_up(const ExchangePtr& x, const std::string& id) {
+void JobApi::look_up(const ExchangePtr& x, const std::string& id) {
   needs_.store.get(kJob + id, store::Urgency::read, [this, x, id](int code, const wire::Row&) {
     if (code == 404) return x->answer(404, wire::error_body("no such job"));
     retry(x, code == 200 ? "still being read" : "state service");
   });
 }
 
-void UsersDesk::tell_tally(const ExchangePtr& x, const std::string& id) {
+void JobApi::tell_tally(const ExchangePtr& x, const std::string& id) {
   const auto& own = needs_.keeper.ownership();
   const auto* known = needs_.records.job(id);
   const int share = known && known->spec ? own.share_of_team(known->spec->team) : -1;
@@ -254,7 +254,7 @@
   answer(x, 200, id);
 }
 
-void UsersDesk::cancel(const ExchangePtr& x, const std::string& id, int tries) {
+void JobApi::cancel(const ExchangePtr& x, const std::string& id, int tries) {
   if (answer_final(x, id)) return;
   if (!needs_.records.synced() || tries == 0) return retry(x, "state service");
   needs_.store.get(kJob + id, store::Urgency::accept, [this, x, id, tries](int code, const wire::Row& row) {
--- a/src/app/users_desk.h
+++ b/src/app/job_api.h
@@ -18,7 +18,7 @@
 
 namespace aspenwick::app {
 
-class UsersDesk {
+class JobApi {
  public:
   struct Needs {
     net::Loop& loop;
@@ -30,7 +30,7 @@
     std::function<void(const std::string& job)> cancelled;
     std::function<void()> poke;
   };
-  UsersDesk(const wire::PlatformSettings& platform, std::uint64_t incarnation, Needs needs)
+  JobApi(const wire::PlatformSettings& platform, std::uint64_t incarnation, Needs needs)
       : platform_(platform), incarnation_(incarnation), needs_(std::move(needs)) {}
 
   void submit(const net::ExchangePtr& x);
--- a/src/app/peer_desk.cpp
+++ b/src/app/peer_service.cpp
@@ -1,4 +1,4 @@
-#include "app/peer_desk.h"
+#include "app/peer_service.h"
 
 #include <variant>
 
@@ -12,7 +12,7 @@
 constexpr Micros kToldWithin = 1500 * kMillisecond;  // of a new leader's key
 }  // namespace
 
-share::PeerState PeerDesk::state_of_us() const {
+share::PeerState PeerService::state_of_us() const {
   const auto& own = needs_.keeper.ownership();
   const Micros now = needs_.loop.now();
   return {own.has_state(needs_.store.ok(now), now),
@@ -24,7 +24,7 @@
           needs_.keeper.taken_epochs()};
 }
 
-void PeerDesk::gossip() {
+void PeerService::gossip() {
   const auto ours = state_of_us();
   share::Gossip g;
   g.node = platform_.name;
@@ -50,7 +50,7 @@
   }
 }
 
-void PeerDesk::heartbeat(const std::string& peer) {
+void PeerService::heartbeat(const std::string& peer) {
   share::Heartbeat b = heartbeats_.to(peer, state_of_us(), needs_.loop.now());
   b.read_to = needs_.records.read_to();
   b.cancellations = cancellations_.highest();
@@ -58,16 +58,16 @@
   needs_.peers.send(peer, b);
 }
 
-void PeerDesk::tell_cancellations(const std::string& peer) {
+void PeerService::tell_cancellations(const std::string& peer) {
   if (const auto tell = cancellations_.to(peer)) needs_.peers.send(peer, *tell);
 }
 
-void PeerDesk::heartbeat() {
+void PeerService::heartbeat() {
   for (const auto& peer : platform_.siblings)
     if (heartbeats_.reads(peer.name)) heartbeat(peer.name);
 }
 
-void PeerDesk::keys_seen() {
+void PeerService::keys_seen() {
   const HolderKey* leader = needs_.keeper.ownership().leader();
   const std::uint64_t epoch = leader ? leader->epoch : 0;
   if (epoch == leader_epoch_) return;
@@ -76,7 +76,7 @@
   if (leader) gossip();
 }
 
-void PeerDesk::cancelled(const std::string& job) {
+void PeerService::cancelled(const std::string& job) {
   for (const auto& peer : platform_.siblings)
     if (heartbeats_.reads(peer.name))
       tell_cancellations(peer.name);
@@ -84,7 +84,7 @@
       needs_.peers.send(peer.name, share::PlainCancelTell{job});
 }
 
-bool PeerDesk::heard_all() const {
+bool PeerService::heard_all() const {
   const Micros now = needs_.loop.now();
   if (now - led_since_ > kToldWithin) return true;
   const auto& own = needs_.keeper.ownership();
@@ -96,12 +96,12 @@
   return true;
 }
 
-std::string PeerDesk::told_holder(int share) const {
+std::string PeerService::told_holder(int share) const {
   auto it = holds_.find(share);
   return it == holds_.end() || needs_.loop.now() - it->second.second > kHoldsFor ? "" : it->second.first;
 }
 
-std::vector<share::ShareSaid> PeerDesk::all_shares() const {
+std::vector<share::ShareSaid> PeerService::all_shares() const {
   auto shares = needs_.keeper.own_shares();
   const Micros now = needs_.loop.now();
   for (const auto& [share, told] : said_)
@@ -109,7 +109,7 @@
   return shares;
 }
 
-void PeerDesk::give(const fleet::Move& move) {
+void PeerService::give(const fleet::Move& move) {
   if (auto* held = needs_.keeper.find(move.from)) {
     if (move.drain)
       held->holder->drain(move.machine, move.to, move.rank, needs_.loop.now());
@@ -120,7 +120,7 @@
   }
 }
 
-void PeerDesk::heard(const share::Frame& frame, const share::Peers::Reply& reply) {
+void PeerService::heard(const share::Frame& frame, const share::Peers::Reply& reply) {
   if (const auto* g = std::get_if<share::Gossip>(&frame))
     heard(*g);
   else if (const auto* a = std::get_if<share::ReleaseAsk>(&frame))
@@ -137,7 +137,7 @@
     heard(*b);
 }
 
-void PeerDesk::heard(const share::Heartbeat& b) {
+void PeerService::heard(const share::Heartbeat& b) {
   auto heard = heartbeats_.heard(b, needs_.loop.now());
   if (heard.state) {
     // Repeated with each of its heartbeats, so that nothing piles up for a peer that can't be reached.
@@ -149,7 +149,7 @@
   if (heard.answer) heartbeat(b.node);
 }
 
-void PeerDesk::heard(const share::Gossip& g) {
+void PeerService::heard(const share::Gossip& g) {
   const Micros now = needs_.loop.now();
   auto& own = needs_.keeper.ownership();
   if (heartbeats_.take_gossip(g, now))
@@ -164,7 +164,7 @@
   for (const auto& s : g.shares) said_[s.share] = {g.node, now, s};
 }
 
-void PeerDesk::heard(const share::ReleaseAsk& a) {
+void PeerService::heard(const share::ReleaseAsk& a) {
   const auto* m = needs_.records.machine(a.machine);
   auto* held = m ? needs_.keeper.find(m->share) : nullptr;
   if (!held || a.to_share >= needs_.keeper.ownership().shares()) return;
@@ -174,7 +174,7 @@
     needs_.move_machine(a.machine, a.to_share);
 }
 
-void PeerDesk::heard(const share::StatusAsk& q, const share::Peers::Reply& reply) {
+void PeerService::heard(const share::StatusAsk& q, const share::Peers::Reply& reply) {
   share::StatusTell t;
   t.request = q.request;
   for (const auto& [s, held] : needs_.keeper.held())
@@ -183,14 +183,14 @@
   reply(t);
 }
 
-void PeerDesk::heard(const share::PlainCancelTell& w) {
+void PeerService::heard(const share::PlainCancelTell& w) {
   // Of no known revision: the record that says it is still to come.
   needs_.records.cancelled_elsewhere(w.job, 0);
   needs_.records.follow_graph();
   needs_.poke();
 }
 
-void PeerDesk::heard(const share::CancelTell& c) {
+void PeerService::heard(const share::CancelTell& c) {
   for (const auto& j : c.jobs) needs_.records.cancelled_elsewhere(j.id, j.revision);
   needs_.records.follow_graph();
   cancellations_.heard(c);
--- a/src/app/peer_desk.h
+++ b/src/app/peer_service.h
@@ -17,7 +17,7 @@
 
 namespace aspenwick::app {
 
-class PeerDesk {
+class PeerService {
  public:
   struct Needs {
     net::Loop& loop;
@@ -30,7 +30,7 @@
     std::function<void()> poke;
   };
   /// `incarnation`: see share::Heartbeats.
-  PeerDesk(const wire::PlatformSettings& platform, std::uint64_t incarnation, Needs needs)
+  PeerService(const wire::PlatformSettings& platform, std::uint64_t incarnation, Needs needs)
       : platform_(platform),
         needs_(std::move(needs)),
         heartbeats_(platform.name, incarnation),
--- a/src/app/workers_desk.cpp
+++ b/src/app/worker_api.cpp
@@ -1,4 +1,4 @@
-#include "app/workers_desk.h"
+#include "app/worker_api.h"
 
 #include <spdlog/spdlog.h>
 
@@ -16,7 +16,7 @@
 constexpr Micros kPushDeadline = 3 * kSecond;
 }
 
-void WorkersDesk::report(const ExchangePtr& x) {
+void WorkerApi::report(const ExchangePtr& x) {
   ++reports_;
   WorkerReport r;
   try {
@@ -27,7 +27,7 @@
   answer(x, r, true);
 }
 
-void WorkersDesk::answer(const ExchangePtr& x, const WorkerReport& r, bool may_adopt) {
+void WorkerApi::answer(const ExchangePtr& x, const WorkerReport& r, bool may_adopt) {
   if (!needs_.records.synced()) return x->answer(503, wire::error_body("starting"));
   const auto& own = needs_.keeper.ownership();
   const auto* machine = needs_.records.machine(r.machine);
@@ -54,7 +54,7 @@
 /// Names the holder if that is surely known. The keys tell it while our view of them can't be old; else only
 /// a peer's own word does. Two nodes that the state service refuses sent workers to each other, by keys long
 /// gone, until their leases ran out, while a third held their share.
-void WorkersDesk::refuse(const ExchangePtr& x, int share, const std::string& by_keys, const char* why) const {
+void WorkerApi::refuse(const ExchangePtr& x, int share, const std::string& by_keys, const char* why) const {
   const auto& own = needs_.keeper.ownership();
   std::string holder = own.keys_current(needs_.loop.now()) ? by_keys : needs_.told_holder(share);
   if (holder == platform_.name) holder.clear();
@@ -62,7 +62,7 @@
   x->answer(421, wire::redirect_body(holder));
 }
 
-void WorkersDesk::adopt(const ExchangePtr& x, const WorkerReport& r) {
+void WorkerApi::adopt(const ExchangePtr& x, const WorkerReport& r) {
   if (!adopting_.insert(r.machine).second) return x->answer(503, wire::error_body("being adopted"));
   share::MachineRecord m;
   m.id = r.machine;
@@ -90,7 +90,7 @@
                       });
 }
 
-void WorkersDesk::push_orders() {
+void WorkerApi::push_orders() {
   for (auto& [share, held] : needs_.keeper.held()) {
     if (!needs_.keeper.may_start(held)) continue;
     if (pushing_ >= most_pushes_) return;  // each takes a socket; reports carry orders too
@@ -99,7 +99,7 @@
   }
 }
 
-void WorkersDesk::push(int share, std::uint64_t made, const share::Holder::Push& p) {
+void WorkerApi::push(int share, std::uint64_t made, const share::Holder::Push& p) {
   wire::Endpoint to;
   try {
     to = wire::parse_endpoint(p.address);
@@ -114,8 +114,8 @@
                          });
 }
 
-void WorkersDesk::pushed(int share, std::uint64_t made, const std::string& machine, int code,
-                         const std::string& body) {
+void WorkerApi::pushed(int share, std::uint64_t made, const std::string& machine, int code,
+                       const std::string& body) {
   --pushing_;
   Keeper::Held* held = needs_.keeper.find(share, made);
   if (!held) return;
--- a/src/app/workers_desk.h
+++ b/src/app/worker_api.h
@@ -15,7 +15,7 @@
 
 namespace aspenwick::app {
 
-class WorkersDesk {
+class WorkerApi {
  public:
   struct Needs {
     net::Loop& loop;
@@ -30,7 +30,7 @@
     std::function<std::string(int share)> told_holder;
     std::function<void()> poke;
   };
-  WorkersDesk(const wire::PlatformSettings& platform, Needs needs)
+  WorkerApi(const wire::PlatformSettings& platform, Needs needs)
       : platform_(platform), needs_(std::move(needs)), most_pushes_(socket_budget(platform).pushes) {}
 
   void report(const net::ExchangePtr& x);
