--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -4,15 +4,15 @@
 #include <string>
 #include <vector>
 
+#include "app/job_api.h"
 #include "app/keeper.h"
 #include "app/latency.h"
 #include "app/leader.h"
 #include "app/operator_settings.h"
-#include "app/peer_desk.h"
-#include "app/recorder.h"
+#include "app/peer_service.h"
 #include "app/records.h"
-#include "app/users_desk.h"
-#include "app/workers_desk.h"
+#include "app/result_writer.h"
+#include "app/worker_api.h"
 #include "net/exchange.h"
 #include "net/loop.h"
 #include "share/peers.h"
@@ -57,11 +57,11 @@
   store::Client store_;
   Records records_;
   Keeper keeper_;
-  Recorder recorder_;
-  PeerDesk peer_desk_;
+  ResultWriter result_writer_;
+  PeerService peer_service_;
   Leader leader_;
-  UsersDesk users_desk_;
-  WorkersDesk workers_desk_;
+  JobApi job_api_;
+  WorkerApi worker_api_;
   bool tick_soon_ = false;
   Latency waits_, planning_, state_calls_;
 };
