--- a/tests/ran_twice_test.cpp
+++ b/tests/ran_twice_test.cpp
@@ -1,6 +1,7 @@
 // Causes for which a task ran on two machines at once, or again after it was done: each test brings one about
 // (docs/incidents/2026-12-02-production.md).
 #include "node_fixture.h"
+#include "share/holder.h"
 
 namespace aspenwick::testing {
 namespace {
@@ -133,5 +134,39 @@
   for (const auto& task : results) EXPECT_EQ(world.starts[task], 1) << task;
 }
 
+// A machine's report names a task of a job whose record has not been read yet. Once it has, the task is not
+// free.
+TEST_F(RanTwiceTest, ATaskOfAJobThatIsNotKnownYetIsPlacedNowhereElse) {
+  const auto platform = wire::parse_settings(settings_json().dump());
+  const auto types = machine_types();
+  constexpr std::uint64_t kEpoch = 2;
+  constexpr Micros kNow = 1000 * kSecond;
+  job::JobRecord record;
+  bool known = false;
+  auto look_up = [&](const std::string&) { return known ? &record : nullptr; };
+  share::Holder owner(platform, types, {}, look_up, kEpoch, kNow, kNow);
+  for (const char* id : {"i-1", "i-2"}) {
+    share::MachineRecord machine;
+    machine.id = id, machine.address = "127.0.0.1:9", machine.type = "cpu8", machine.zone = "z1";
+    owner.machine_known(machine, false, kNow);
+  }
+  owner.loaded(kNow);
+  wire::WorkerReport report;
+  report.address = "127.0.0.1:9", report.type = "cpu8", report.zone = "z1";
+  report.session = report.seq = 1;
+  report.token = kEpoch << place::kEpochShift;
+  report.machine = "i-2";
+  owner.on_report(report, kNow, true);
+  wire::TaskReport task;
+  task.job = "j-1", task.attempt = 1, task.state = wire::TaskState::running;
+  report.machine = "i-1", report.tasks = {task};
+  owner.on_report(report, kNow, true);
+  known = true;
+  record.spec = std::make_shared<wire::JobSpec>(wire::job_from_json(job("j-1", 1)));
+  owner.job_known("j-1", record, false, kNow, kNow);
+  owner.tick(kNow, true);
+  for (const auto& placed : owner.describe()) EXPECT_EQ(placed, "i-1 j-1/0 running");
+}
+
 }  // namespace
 }  // namespace aspenwick::testing
