--- a/src/share/holder.h
+++ b/src/share/holder.h
@@ -124,6 +124,8 @@
   };
   std::vector<DoneWrite> done_writes(std::size_t most);
   static constexpr std::uint32_t kUnitRows = 1U << 16;
+  /// Pushes lost in a row: starts wait for a report until one arrives.
+  static constexpr int kGivenUp = 2;
   /// A progress row's name below its job, and back: "<job>/<chunk>" or "<job>/u/<unit>". The first version
   /// takes the latter for a job that it doesn't know.
   static std::string row_name(std::uint32_t row);
--- /dev/null
+++ b/src/share/holder_reports.cpp
@@ -0,0 +1,290 @@
+// What a worker's report tells: which attempts are there, which have ended and why, and whether the machine
+// is accounted for.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "share/holder.h"
+
+namespace aspenwick::share {
+
+using wire::Cause;
+using wire::Shape;
+using wire::TaskReport;
+using wire::TaskState;
+using wire::WorkerReport;
+
+namespace {
+constexpr int kMostInVain = 2;  // answers that did not arrive, where pushes may do
+}  // namespace
+
+/// A worker has one report in flight and drops answers to any other, and to those of earlier sessions. One
+/// that the answer to a push overtook is still waited for: its answer renews the lease, so it has to count,
+/// or the machine's tasks are started elsewhere while they still run there.
+Holder::ReportOrder Holder::order_of(const Machine& m, const WorkerReport& r) {
+  if (std::pair{r.session, r.seq} > std::pair{m.session, m.seq}) return ReportOrder::newest;
+  const bool waited_for = r.session == m.session && r.seq > m.report_seq;
+  return waited_for ? ReportOrder::overtaken : ReportOrder::copy;
+}
+
+std::optional<Holder::Answer> Holder::on_report(const WorkerReport& r, Micros now, bool may_start) {
+  auto it = view_.machines.find(r.machine);
+  if (it == view_.machines.end()) return {};
+  Machine& m = it->second;
+  // A worker that has seen a higher token has another holder: our answer would be dropped.
+  if (r.token > token(m)) return {};
+  // Late or repeated reports (held packets) must not undo newer ones. Nobody waits for the answer to a copy.
+  const ReportOrder order = order_of(m, r);
+  if (order == ReportOrder::copy) return Answer{token(m), {}};
+  if (order == ReportOrder::newest) {
+    if (m.hearing.shown(r.token, floor(m))) view_.gained(m);
+    apply(m, r, true, now);
+  }
+  m.report_seq = r.seq;
+  // Our answers don't reach it, nor do pushes: each further one would only put off the moment from which its
+  // lease has surely lapsed, and what may be on it would hold up the share for as long as it reports.
+  const int enough = m.pushes_lost >= kGivenUp ? 1 : kMostInVain;
+  if (!m.accounted && m.hearing.in_vain() >= enough) return {};
+  m.hearing.answered();
+  // Never sooner than before: a copy of an old report may come in the seconds in which the former holder, cut
+  // off, still answers the worker itself.
+  m.lapse_at = std::max(m.lapse_at, surely_lapsed(now));
+  if (order == ReportOrder::overtaken) return Answer{token(m), {}};
+  auto orders = take_orders(m, false, r.seq, may_start, now);
+  return Answer{token(m), std::move(orders)};  // the orders may take a higher token
+}
+
+bool Holder::apply(Machine& m, const WorkerReport& r, bool own_report, Micros now) {
+  if (std::pair{r.session, r.seq} <= std::pair{m.session, m.seq}) return false;
+  if (r.session > m.session) {
+    const Micros answered = m.lapse_at - surely_lapsed(0);
+    const bool unheard = m.session != 0 && m.accounted && m.up && now - answered < platform_.worker_lease;
+    if (m.session != 0) lapse(m, now, Freed::new_session);
+    // A session's lease runs from its beginning, with no report answered: seen through a push, it may have
+    // begun just now, and what we start in it lives that long. Before a machine is accounted for we start
+    // nothing, and its former holder knew no session that began after it.
+    if (m.accounted) m.lapse_at = std::max(m.lapse_at, surely_lapsed(now));
+    // A session ends when no answer arrives for a lease, and by our book some did.
+    if (unheard) doubt(m, now, "its session ended between our answers");
+    m.report_seq = 0;
+  }
+  m.session = r.session;
+  m.seq = r.seq;
+  m.seen_token = std::max(m.seen_token, r.token);
+  if (!m.up) view_.gained(m);
+  m.up = true;
+  m.last_report = now;
+  m.record.address = r.address;
+  if (r.notice && !m.taken_at) {
+    m.taken_at = now + *r.notice;
+    spdlog::info("machine {} will be taken in {:.1f} s", m.record.id, to_seconds(*r.notice));
+  }
+  m.forgets.clear();
+  std::set<TaskKey> seen;
+  for (const auto& t : r.tasks) {
+    if (t.state == TaskState::exited) {
+      task_exited(m, t, now);
+      continue;
+    }
+    TaskKey key{t.job, t.index};
+    auto p = m.tasks.find(key);
+    if (p != m.tasks.end() && p->second.attempt != t.attempt) {
+      // The machine holds another attempt than the one we meant: what it holds is the truth.
+      if (p->second.phase == Phase::assigned || t.attempt > p->second.attempt)
+        view_.drop(m, p, now, Freed::replaced);
+      p = m.tasks.find(key);
+    }
+    seen.insert(key);
+    if (p == m.tasks.end()) {
+      adopt(m, t, now);
+      continue;
+    }
+    if (p->second.attempt != t.attempt) continue;
+    p->second.fence = 0;
+    if (t.state == TaskState::running && p->second.run_since == 0) {
+      p->second.run_since = now;
+      if (p->second.job && p->second.phase != Phase::running) waits_.push_back(now - p->second.job->ready);
+    }
+    if (t.state != TaskState::fetching && p->second.phase != Phase::running && p->second.job)
+      m.used_image(*p->second.job->spec);
+    if (p->second.phase < Phase::present && p->second.job) p->second.job->waits_since = now;
+    p->second.phase = t.state == TaskState::running ? Phase::running : Phase::present;
+    p->second.fetching = t.state == TaskState::fetching;
+    if (Job* j = p->second.job; j && j->incomplete == t.attempt && !p->second.fetching)
+      view_.halt(p->second, 0);  // it has the image now, see ClusterView::end_attempt
+  }
+  bool unheard = false;
+  for (auto p = m.tasks.begin(); p != m.tasks.end();) {
+    auto here = p++;
+    const Placed& x = here->second;
+    if (seen.contains(here->first) || x.phase == Phase::assigned) continue;
+    bool gone = true;
+    if (x.phase == Phase::sent) {
+      // An order in an answer was carried out or dropped before the next report is sent; an order pushed may
+      // still arrive, however late, until the worker has seen a higher token.
+      gone = x.by_push ? x.fence != 0 && r.token >= x.fence : own_report && r.seq > x.answer_seq;
+      unheard |= gone && !x.by_push && x.answer_seq != 0;
+    }
+    if (gone) view_.drop(m, here, now, x.fence != 0 ? Freed::fenced : Freed::not_listed);
+  }
+  if (unheard) doubt(m, now, "an answer did not arrive");
+  if (!m.accounted && r.token >= floor(m)) {
+    m.accounted = true;
+    m.lapse_at = std::max(m.lapse_at, surely_lapsed(now));  // of this session, as above
+    view_.gained(m);
+    check_rebuilt(now);
+  }
+  return true;
+}
+
+void Holder::adopt(Machine& m, const TaskReport& t, Micros now) {
+  Placed p;
+  p.job_id = t.job;
+  p.index = t.index;
+  p.attempt = t.attempt;
+  p.phase = t.state == TaskState::running ? Phase::running : Phase::present;
+  p.fetching = t.state == TaskState::fetching;
+  p.started = now;
+  auto it = view_.jobs.find(t.job);
+  if (it == view_.jobs.end() && lookup_(t.job) == nullptr) return;  // not known yet: leave it alone
+  if (it != view_.jobs.end() && t.index < it->second->spec->tasks) {
+    Job& j = *it->second;
+    p.need = j.spec->need;
+    p.team = j.spec->team;
+    if (auto a = j.active.find(t.index); a != j.active.end()) {
+      // Meant for another machine and not sent yet: what runs stays, or the task would run twice.
+      Machine& other = *a->second;
+      auto q = other.tasks.find({t.job, t.index});
+      if (q != other.tasks.end() && q->second.phase == Phase::assigned)
+        view_.drop(other, q, now, Freed::runs_elsewhere);
+    }
+    if (!j.cancelled && !j.finished && !j.done.test(t.index) && !j.active.contains(t.index)) {
+      p.job = &j;
+      if (t.state != TaskState::fetching) m.used_image(*j.spec);
+    } else if (!j.active.contains(t.index)) {
+      p.job = &j;  // over, but it must be seen to go
+      view_.halt(p, 0);
+    } else {
+      view_.halt(p, 0);
+    }
+  } else {
+    // Another share's, or over. What is over holds its place and counts against its team until it is gone.
+    if (const JobRecord* r = lookup_(t.job); r && r->spec) p.need = r->spec->need, p.team = r->spec->team;
+    view_.halt(p, 0);
+  }
+  view_.add(m, std::move(p));
+}
+
+void Holder::task_exited(Machine& m, const TaskReport& t, Micros now) {
+  auto p = m.tasks.find({t.job, t.index});
+  auto it = view_.jobs.find(t.job);
+  Job* j = it == view_.jobs.end() ? nullptr : it->second.get();
+  const bool ours = p != m.tasks.end() && p->second.attempt == t.attempt;
+  if (t.cause == Cause::done && j && t.index < j->spec->tasks) {
+    const bool news = j->done.set(t.index);
+    if (news) {
+      j->dirty.insert(t.index / DoneSet::kUnit);
+      j->again.erase(t.index);
+      gang_done(*j);
+    }
+    if (ours && (news || j->spec->shape == Shape::gang)) task_done(*j, m, p->second, now);
+    // The result is forgotten only once it is recorded, or a crash here would lose it.
+    if (surely_recorded(*j, t.index) || j->finished || j->cancelled)
+      m.forgets.push_back({Order::Verb::forget, t.job, t.index, t.attempt, 0});
+    // With its last task a job that is over goes from the view, and `j` with it.
+    if (ours) view_.drop(m, p, now, Freed::done);
+    it = view_.jobs.find(t.job);
+    if (it == view_.jobs.end()) return;
+    // An attempt of it elsewhere has nothing left to do.
+    if (auto a = it->second->active.find(t.index); a != it->second->active.end()) {
+      Machine& other = *a->second;
+      auto q = other.tasks.find({t.job, t.index});
+      if (q != other.tasks.end()) {
+        if (q->second.phase == Phase::assigned)
+          view_.drop(other, q, now, Freed::done);
+        else
+          view_.halt(q->second, 0);
+      }
+    }
+    view_.erase_if_over(t.job);
+    return;
+  }
+  if (ours) {
+    if (t.cause == Cause::error && j) task_failed(*j, m, now);
+    if (t.cause == Cause::no_room && j) j->not_before = std::max(j->not_before, now + 200 * kMillisecond);
+    if (t.cause == Cause::gang_incomplete && j) j->incomplete = t.attempt;
+    if (t.cause == Cause::unknown && j) j->not_before = now + 2 * kSecond;
+    spdlog::debug("exited {}/{} try {} on {} cause {}", t.job, t.index, t.attempt, m.record.id,
+                  static_cast<int>(t.cause));
+    view_.drop(m, p, now, Freed::exited);
+  }
+  if (t.cause == Cause::done && !j && lookup_(t.job) == nullptr)
+    return;  // a job not known yet: keep its result
+  m.forgets.push_back({Order::Verb::forget, t.job, t.index, t.attempt, 0});
+}
+
+/// A gang completes together: where one task is done, all are. The others' machines may be gone before they
+/// tell it; started without the done one, the rest would wait for it, again and again, and the job never end.
+void Holder::gang_done(Job& j) {
+  if (j.spec->shape != Shape::gang || j.done.count() == 0) return;
+  for (std::uint32_t i = 0; i < j.spec->tasks; ++i)
+    if (j.done.set(i)) j.dirty.insert(i / DoneSet::kUnit);
+  j.again.clear();
+}
+
+void Holder::task_done(Job& j, Machine& m, const Placed& p, Micros now) {
+  m.error_jobs.clear();
+  if (p.run_since == 0 || j.spec->shape == Shape::service) return;
+  const double run = std::max(0.05, to_seconds(now - p.run_since));
+  j.run_sum += run;
+  ++j.run_count;
+  const double goal = settings_.rnn.normalise ? run / (j.run_sum / j.run_count) : run;
+  placement_.rnn().learn(m.neuron, goal);
+  if (spdlog::should_log(spdlog::level::debug))
+    spdlog::debug("learn {} goal {:.3f} threshold {:.3f} q {:.4f}", m.record.id, goal,
+                  placement_.rnn().threshold(), placement_.rnn().q(m.neuron));
+}
+
+void Holder::task_failed(Job& j, Machine& m, Micros now) {
+  ++j.errors;
+  // Not for good: where it is the only machine with room, the job would wait there for ever.
+  std::erase_if(j.bad_machines, [&](const auto& bad) { return bad.second <= now; });
+  j.bad_machines[m.record.id] = now + settings_.suspect_for;
+  m.error_jobs.insert(j.id);
+  if (j.bad_machines.size() >= 3) {
+    // It fails wherever it runs: the job is to blame. It backs off, and the machines are cleared of it.
+    j.not_before = now + std::min<Micros>(60 * kSecond, settings_.error_backoff << std::min(j.errors, 5));
+    for (const auto& [id, until] : j.bad_machines)
+      if (auto it = view_.machines.find(id); it != view_.machines.end()) {
+        it->second.error_jobs.erase(j.id);
+        it->second.suspect_until = 0;
+        view_.gained();
+      }
+    j.bad_machines.clear();
+  } else if (static_cast<int>(m.error_jobs.size()) >= 2) {
+    m.suspect_until = now + settings_.suspect_for;
+    spdlog::info("machine {} is suspect: tasks of {} jobs failed on it", m.record.id, m.error_jobs.size());
+  }
+}
+
+void Holder::lapse(Machine& m, Micros now, Freed why) {
+  if (!m.tasks.empty())
+    spdlog::info("machine {}: {} tasks gone ({})", m.record.id, m.tasks.size(), place::to_string(why));
+  while (!m.tasks.empty()) view_.drop(m, m.tasks.begin(), now, why);
+  m.forgets.clear();
+}
+
+/// Its reports arrive, but what we send seems not to. Under a new token its reports will tell; until then
+/// nothing new is given to it, and what was not sent yet goes elsewhere.
+void Holder::doubt(Machine& m, Micros now, const char* why) {
+  ++m.bump;
+  if (!m.hearing.in_doubt()) spdlog::debug("machine {} is in doubt: {}", m.record.id, why);
+  m.hearing.doubt(token(m), now);
+  view_.to_order.insert(&m);  // to be asked at once
+  for (auto it = m.tasks.begin(); it != m.tasks.end();) {
+    auto here = it++;
+    if (here->second.phase == Phase::assigned) view_.drop(m, here, now, Freed::never_sent);
+  }
+}
+
+}  // namespace aspenwick::share
