Small world: a node that stood still works through what waited; outages in rows

What had waited for a node that stood still was handled in one instant, before any answer to its first renewal; a process takes a while for each thing, and answers arrive in between. Users repeat a cancellation that was not answered, as they do a submission.

--- a/tests/small_world.cpp
+++ b/tests/small_world.cpp
@@ -328,6 +328,14 @@
 
 void SmallWorld::freeze(const std::string& node, Micros span) { nodes_.at(node)->loop.freeze(span); }
 
+void SmallWorld::interrupt_state_service(Micros span) {
+  constexpr Micros kDownFor = 700 * kMillisecond, kEvery = 1300 * kMillisecond;
+  if (span <= 0) return;
+  state_down = true;
+  engine.at(kDownFor, [this] { state_down = false; });
+  engine.at(kEvery, [this, span] { interrupt_state_service(span - kEvery); });
+}
+
 void SmallWorld::mute_some_machine(Micros span) {
   if (Worker* w = some_machine()) w->mute_until = engine.now + span;
 }
--- a/tests/small_world.h
+++ b/tests/small_world.h
@@ -49,7 +49,7 @@
   void later(Micros delay, std::function<void()> what) override {
     engine_.at(delay, [this, alive = alive_, what = std::move(what)]() mutable {
       if (!*alive) return;
-      if (frozen() > 0) return later(frozen(), std::move(what));
+      if (frozen() > 0) return later(frozen() + ++waited_ * kWorkedThrough, std::move(what));
       what();
     });
   }
@@ -60,13 +60,18 @@
     });
   }
   void crash() { *alive_ = false; }
-  /// All that would happen until then happens then.
-  void freeze(Micros span) { frozen_until_ = engine_.now + span; }
+  /// All that would happen until then happens then, one thing after the other.
+  void freeze(Micros span) {
+    frozen_until_ = engine_.now + span;
+    waited_ = 0;
+  }
   Micros frozen() const { return std::max<Micros>(0, frozen_until_ - engine_.now); }
 
  private:
+  static constexpr Micros kWorkedThrough =
+      kMillisecond / 4;  // what a node takes for each thing that has waited
   Engine& engine_;
-  Micros frozen_until_ = 0;
+  Micros frozen_until_ = 0, waited_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
@@ -136,6 +141,8 @@
   void start(const std::string& node);
   void crash(const std::string& node);
   void freeze(const std::string& node, Micros span);
+  /// For so long the state service is down for 0.7 s of each 1.3 s: each outage restores all leases.
+  void interrupt_state_service(Micros span);
   bool up(const std::string& node) const { return nodes_.contains(node); }
   /// A machine stands still, and then goes on where it was.
   void hang_some_machine(Micros span);
--- a/tests/users.cpp
+++ b/tests/users.cpp
@@ -124,7 +124,9 @@
   if (node.empty() || !w_.up(node)) return;
   asked_.insert(id);
   std::erase_if(w_.wanted, [&](const auto& j) { return may_be_cancelled(j); });
-  ask(node, id, Method::post, "/v1/jobs/" + id + "/withdraw", {});
+  ask(node, id, Method::post, "/v1/jobs/" + id + "/withdraw", {}, [this, id, at](const Answer& a) {
+    if (a.status >= 429) w_.engine.at(kSecond, [this, id, at] { cancel(id, at); });
+  });
 }
 
 void Users::poll(const std::string& id, const std::string& at) {
