A user is told of a cancellation once no owner can start the job any more

An answer before the right of another had lapsed.

A cancellation that a peer of the former version tells has no known revision: none is made up for it any more, which also kept it from being repeated to others.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -50,9 +50,11 @@
                [this](const auto& types) { records_.write_types(types); },
                [this](const fleet::Move& move) { peer_service_.give(move); },
                [this](const auto& ids) { records_.forget_machines(ids); }}),
-      job_api_(platform, needs.incarnation,
-               {loop_, store_, needs.peers, records_, keeper_,
-                [this](const std::string& job) { peer_service_.cancelled(job); }, [this] { poke(); }}),
+      job_api_(
+          platform, needs.incarnation,
+          {loop_, store_, needs.peers, records_, keeper_,
+           [this](const std::string& job) { peer_service_.cancelled(job); },
+           [this](const std::string& job) { return peer_service_.may_confirm(job); }, [this] { poke(); }}),
       worker_api_(platform,
                   {loop_, needs.workers, store_, records_, keeper_,
                    [this](const wire::WorkerReport& r) {
--- a/src/app/job_api.cpp
+++ b/src/app/job_api.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 constexpr Micros kPeerAnswer = 300 * kMillisecond;
+constexpr Micros kConfirmAgain = 10 * kMillisecond;
 constexpr int kMostLookUps = 32;                  // of needed jobs that we don't know, for one submission
 constexpr std::size_t kMostTallies = 4096;        // kept of what holders told last
 constexpr int kCancelTries = 3;                   // against changes made elsewhere meanwhile
@@ -58,16 +59,30 @@
                                     code == 201 ? std::nullopt : std::optional(tally)));
 }
 
+/// true: it is over, and its user is told so now or soon.
 bool JobApi::answer_final(const ExchangePtr& x, const std::string& id) {
   const auto* known = needs_.records.job(id);
   // Told from the graph as soon as the cancellation above it is known; its own record follows.
   const bool doomed = needs_.records.graph().doomed(id);
   if (!doomed && !(known && known->final())) return false;
   tallies_.erase(id);
-  x->answer(200, wire::status_body(id, known && known->final() ? known->status : JobStatus::cancelled));
+  const JobStatus status = known && known->final() ? known->status : JobStatus::cancelled;
+  // What needs a cancelled job never had tasks. Of any other the owner may start tasks until it knows.
+  if (status == JobStatus::cancelled && !doomed && !needs_.may_confirm(id))
+    confirm(x, id, needs_.loop.now() + kPeerAnswer);
+  else
+    x->answer(200, wire::status_body(id, status));
   return true;
 }
 
+/// Waits for the owner's word, as long as for any peer's; a user who comes again may find that it came, or
+/// that the owner's time to act has passed.
+void JobApi::confirm(const ExchangePtr& x, const std::string& id, Micros until) {
+  if (needs_.may_confirm(id)) return x->answer(200, wire::status_body(id, JobStatus::cancelled));
+  if (needs_.loop.now() >= until) return retry(x, "the owner of its share may not know the cancellation yet");
+  needs_.loop.later(kConfirmAgain, [this, x, id, until] { confirm(x, id, until); });
+}
+
 /// No submission is refused for good before the state service has said that its id isn't there: it may be a
 /// retry of what another node accepted a moment ago, or a former version, or this one while the limits and
 /// the list of machine types were others. That gets the job's state.
--- a/src/app/job_api.h
+++ b/src/app/job_api.h
@@ -28,6 +28,8 @@
     Keeper& keeper;
     /// Tells the peers, ahead of the watch.
     std::function<void(const std::string& job)> cancelled;
+    /// Users may be told of its cancellation.
+    std::function<bool(const std::string& job)> may_confirm;
     std::function<void()> poke;
   };
   JobApi(const wire::PlatformSettings& platform, std::uint64_t incarnation, Needs needs)
@@ -66,6 +68,7 @@
   void refuse(const net::ExchangePtr& x, int code, const std::string& id, const std::string& why);
   void answer(const net::ExchangePtr& x, int code, const std::string& id);
   bool answer_final(const net::ExchangePtr& x, const std::string& id);
+  void confirm(const net::ExchangePtr& x, const std::string& id, Micros until);
   void note_tally(const std::string& id, Tally tally);
   void look_up(const net::ExchangePtr& x, const std::string& id);
   void tell_tally(const net::ExchangePtr& x, const std::string& id);
--- a/src/app/peer_service.cpp
+++ b/src/app/peer_service.cpp
@@ -76,6 +76,33 @@
   if (leader) gossip();
 }
 
+void PeerService::cancellation_known(const std::string& job, std::uint64_t revision) {
+  const std::uint64_t number = cancellations_.learnt(job, revision);
+  confirmations_.learnt(job, revision, number, needs_.loop.now());
+}
+
+bool PeerService::may_confirm(const std::string& job) {
+  return confirmations_.settled(
+      job, cancellations_, [this, &job](std::uint64_t revision) { return other_owners(job, revision); },
+      needs_.loop.now());
+}
+
+/// Who takes the share later reads every record up to its key, and so the cancellation. Whoever may have
+/// taken it before, unseen by us, has to have said that it knows.
+std::vector<std::string> PeerService::other_owners(const std::string& job, std::uint64_t revision) const {
+  const auto& own = needs_.keeper.ownership();
+  const auto* record = needs_.records.job(job);
+  const bool keys_known = revision != 0 && needs_.store.watched() >= revision;
+  if (keys_known && record && record->spec) {
+    const HolderKey* key = own.holder(own.share_of_team(record->spec->team));
+    if (!key || key->node == platform_.name) return {};
+    return {key->node};
+  }
+  std::vector<std::string> nodes;
+  for (const auto& peer : platform_.siblings) nodes.push_back(peer.name);
+  return nodes;
+}
+
 void PeerService::cancelled(const std::string& job) {
   for (const auto& peer : platform_.siblings)
     if (heartbeats_.reads(peer.name))
@@ -195,6 +222,7 @@
   needs_.records.follow_graph();
   cancellations_.heard(c);
   needs_.poke();
+  heartbeat(c.node);  // says that we know them: a user waits for it
 }
 
 }  // namespace aspenwick::app
--- a/src/app/peer_service.h
+++ b/src/app/peer_service.h
@@ -13,6 +13,7 @@
 #include "share/cancellations.h"
 #include "share/heartbeats.h"
 #include "share/peers.h"
+#include "share/pending_confirmations.h"
 #include "store/client.h"
 
 namespace aspenwick::app {
@@ -43,10 +44,10 @@
   void heartbeat();
   /// The keys may have changed.
   void keys_seen();
-  /// We know that a job is cancelled, by a record of that revision, and may tell users so.
-  void cancellation_known(const std::string& job, std::uint64_t revision) {
-    cancellations_.learnt(job, revision);
-  }
+  /// We know that a job is cancelled, by a record of that revision; 0: told by a peer, the record is to come.
+  void cancellation_known(const std::string& job, std::uint64_t revision);
+  /// No owner of its share can start a task of this cancelled job any more: users may be told.
+  bool may_confirm(const std::string& job);
   /// We have committed it: the peers are told ahead of the watch.
   void cancelled(const std::string& job);
   void heard(const share::Frame& frame, const share::Peers::Reply& reply);
@@ -75,11 +76,13 @@
   void heartbeat(const std::string& peer);
   void tell_cancellations(const std::string& peer);
   share::PeerState state_of_us() const;
+  std::vector<std::string> other_owners(const std::string& job, std::uint64_t revision) const;
 
   const wire::PlatformSettings& platform_;
   Needs needs_;
   share::Heartbeats heartbeats_;
   share::Cancellations cancellations_;
+  share::PendingConfirmations confirmations_;
   std::map<int, Told> said_;                             // by share, the last word of whoever held it
   std::map<int, std::pair<std::string, Micros>> holds_;  // who said that it holds it, and when
   std::uint64_t leader_epoch_ = 0;
--- a/src/app/records.cpp
+++ b/src/app/records.cpp
@@ -121,7 +121,9 @@
   job::JobRecord& kept = jobs_[id];
   const bool news = record.status == JobStatus::cancelled &&
                     (kept.status != JobStatus::cancelled || kept.version < record.version);
-  if (news) needs_.cancelled(id, record.version);
+  // Told by a peer that doesn't know the revision, it goes by the one that the open record had.
+  const bool of_known_revision = record.version > kept.version;
+  if (news) needs_.cancelled(id, of_known_revision ? record.version : 0);
   // A record in parts is whole once they are all here; one written before keeps its spec.
   if (!record.spec && kept.spec && record.status != JobStatus::done) record.spec = kept.spec;
   kept = std::move(record);
--- a/src/app/records.h
+++ b/src/app/records.h
@@ -24,7 +24,8 @@
     store::Client& store;
     /// Told of each record whenever it, or what it waits for, has changed.
     std::function<void(const std::string& id, const job::JobRecord& record)> job_seen;
-    /// Told once of each job that is known to be cancelled, before any user can be told so by us.
+    /// Told of each job that is known to be cancelled, before any user can be told so by us; once more when
+    /// the revision of its record, 0 while it isn't known, comes.
     std::function<void(const std::string& id, std::uint64_t revision)> cancelled;
   };
   Records(const wire::PlatformSettings& platform, Needs needs);
--- a/src/share/cancellations.cpp
+++ b/src/share/cancellations.cpp
@@ -4,20 +4,30 @@
 
 namespace aspenwick::share {
 
-void Cancellations::learnt(const std::string& job, std::uint64_t revision) {
+std::uint64_t Cancellations::learnt(const std::string& job, std::uint64_t revision) {
   ++highest_;
   kept_.push_back({job, revision});
   // What all have read, and what is too much to keep. What a peer had may have been had by its former
   // process.
   const auto read_by_all = [&] {
     return !peers_.empty() && std::all_of(peers_.begin(), peers_.end(), [&](const auto& p) {
-      return p.second.read_to >= kept_.front().revision;
+      return has_read(p.second, kept_.front().revision);
     });
   };
   while (!kept_.empty() && (kept_.size() > kMostKept || read_by_all())) {
     dropped_ = std::max(dropped_, kept_.front().revision);
     kept_.pop_front();
   }
+  return highest_;
+}
+
+bool Cancellations::has_read(const Peer& peer, std::uint64_t revision) {
+  return revision != 0 && peer.read_to >= revision;
+}
+
+bool Cancellations::known_by(const std::string& peer, std::uint64_t revision, std::uint64_t number) const {
+  const auto it = peers_.find(peer);
+  return it != peers_.end() && (has_read(it->second, revision) || it->second.had >= number);
 }
 
 void Cancellations::peer_has(const std::string& peer, std::uint64_t read_to, std::uint64_t had) {
@@ -39,7 +49,7 @@
   tell.from = p.had;
   for (tell.upto = std::max(p.had, first - 1); tell.upto < highest_; ++tell.upto) {
     const auto& job = kept_[tell.upto + 1 - first];
-    if (job.revision <= p.read_to) continue;
+    if (has_read(p, job.revision)) continue;
     if (tell.jobs.size() == kMostInFrame) break;
     tell.jobs.push_back(job);
   }
--- a/src/share/cancellations.h
+++ b/src/share/cancellations.h
@@ -25,13 +25,15 @@
       : node_(std::move(node)), incarnation_(incarnation) {}
 
   // ---- ours
-  /// We know that it is cancelled and may tell users so from now on. `revision`: of its record.
-  void learnt(const std::string& job, std::uint64_t revision);
+  /// We know that it is cancelled; returns its number. `revision`: of its record, 0: not known.
+  std::uint64_t learnt(const std::string& job, std::uint64_t revision);
   /// The number of the newest, 0: none. Our word to a peer says no more than what is told up to here.
   std::uint64_t highest() const { return highest_; }
   /// A peer's process has read all job records up to `read_to`, and had ours up to the number `had` (0 too if
   /// that was said to another process of ours).
   void peer_has(const std::string& peer, std::uint64_t read_to, std::uint64_t had);
+  /// The peer's process has said that it knows the cancellation of that revision and number.
+  bool known_by(const std::string& peer, std::uint64_t revision, std::uint64_t number) const;
   /// What that peer may lack, to be sent until it says that it had it. None: it lacks nothing, or can't be
   /// told since it lacks what is no longer kept.
   std::optional<CancelTell> to(const std::string& peer) const;
@@ -48,6 +50,8 @@
     std::uint64_t read_to = 0, had = 0;              // what it says of itself
     std::uint64_t its_incarnation = 0, we_have = 0;  // what it told us
   };
+  static bool has_read(const Peer& peer, std::uint64_t revision);
+
   std::string node_;
   std::uint64_t incarnation_, highest_ = 0;
   std::uint64_t dropped_ = 0;         // newest revision among what is no longer kept
--- a/src/share/ownership.h
+++ b/src/share/ownership.h
@@ -14,6 +14,9 @@
 
 inline constexpr Micros kHolderLease = 5 * kSecond;
 inline constexpr Micros kRenewEvery = 1500 * kMillisecond;
+/// An owner acts only on job records that it knows as of a moment no longer ago. As long as its lease: a
+/// state service too slow for the one is too slow for the other.
+inline constexpr Micros kRecordsBound = kHolderLease;
 
 /// The value of holder/<n> and leader.
 struct HolderKey {
--- a/tests/cancellations_test.cpp
+++ b/tests/cancellations_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include "share/pending_confirmations.h"
+
 namespace aspenwick::share {
 namespace {
 
@@ -72,5 +74,53 @@
   EXPECT_EQ(b.had("a", 11), a.highest());
 }
 
+struct PendingConfirmationsTest : ::testing::Test {
+  bool settled(Micros now) {
+    return pending.settled(
+        "j-1", cancellations, [this](std::uint64_t) { return owners; }, now);
+  }
+  static constexpr Micros kNow = 1000 * kSecond;
+  Cancellations cancellations{"a", 11};
+  PendingConfirmations pending;
+  std::vector<std::string> owners{"b"};
+};
+
+TEST_F(PendingConfirmationsTest, WaitForTheOwnersWordByNumberOrByRevision) {
+  for (const bool by_number : {false, true}) {
+    pending.learnt("j-1", 101, cancellations.learnt("j-1", 101), kNow);
+    EXPECT_FALSE(settled(kNow));
+    cancellations.peer_has("c", 200, 9);  // somebody else's
+    cancellations.peer_has("b", 100, cancellations.highest() - 1);
+    EXPECT_FALSE(settled(kNow));
+    cancellations.peer_has("b", by_number ? 100 : 101, by_number ? cancellations.highest() : 0);
+    EXPECT_TRUE(settled(kNow));
+    cancellations.peer_has("b", 0, 0);  // its process began anew, and will read it
+    EXPECT_TRUE(settled(kNow));
+  }
+}
+
+TEST_F(PendingConfirmationsTest, AreSettledOnceNoOwnerMayActOnRecordsThatLackThem) {
+  constexpr Micros kPast = PendingConfirmations::kSettledAfter;
+  pending.learnt("j-1", 101, cancellations.learnt("j-1", 101), kNow);
+  EXPECT_FALSE(settled(kNow + kPast - 1));
+  pending.learnt("j-1", 102, cancellations.learnt("j-1", 102),
+                 kNow + kPast - 1);  // told again: cancelled no later
+  EXPECT_TRUE(settled(kNow + kPast));
+  pending.learnt("j-2", 103, cancellations.learnt("j-2", 103), kNow);
+  pending.learnt("j-3", 104, cancellations.learnt("j-3", 104), kNow + kPast);
+  EXPECT_EQ(pending.size(), 1U);  // nobody asked about the first
+}
+
+// A peer of a former version tells of it ahead of its record: a revision that others have read proves
+// nothing.
+TEST_F(PendingConfirmationsTest, OfNoKnownRevisionOnlyTheNumberCounts) {
+  pending.learnt("j-1", 0, cancellations.learnt("j-1", 0), kNow);
+  cancellations.peer_has("b", 1000, 0);
+  EXPECT_FALSE(settled(kNow));
+  EXPECT_EQ(ids(cancellations.to("b")), std::vector<std::string>{"j-1"});
+  cancellations.peer_has("b", 1000, 1);
+  EXPECT_TRUE(settled(kNow));
+}
+
 }  // namespace
 }  // namespace aspenwick::share
