Tests of stale records: keys read again, a held watch, the leader's plans; one known red

Keys read again, a watch that is held and plans of the leader pass with the bound on the records' age. What does not: the renewal of workers. An owner whose lease is valid and that reads all keys again, cut off from its peers, renews its workers for as long as that takes; a cancelled task was on its machine past its time to be gone (43 s after the commit).

--- a/tests/small_world.cpp
+++ b/tests/small_world.cpp
@@ -204,7 +204,10 @@
           [answer, lost](int status, const std::string& text) {
             if (!lost) answer(status, text);
           },
-          [refused, this] { return refused() || world_.watch_stalls.contains(node_); });
+          [refused, open_watch = path.starts_with("/changes") && part(path, "holdMs") != "0", this] {
+            return refused() || world_.watch_stalls.contains(node_) ||
+                   (open_watch && world_.open_watches_held.contains(node_));
+          });
     } else if (to.port == 5) {
       world_.cloud(method, path, body, answer);
     } else {
--- a/tests/small_world.h
+++ b/tests/small_world.h
@@ -179,8 +179,10 @@
   double answer_lost = 0;               // of the state service's, which has executed the request
   double report_lost = 0;               // of reports, half of them answered in vain
   Micros report_takes = 0;              // on its way to a node, what is sent later may overtake it
-  std::set<std::string> watch_stalls;   // nodes whose open watches are told nothing
-  std::set<std::string> unanswered;     // nodes whose commits are executed without an answer
+  std::set<std::string> watch_stalls;   // nodes that are told of no changes, however they ask
+  std::set<std::string>
+      open_watches_held;             // nodes whose open watches are told nothing; other reads are answered
+  std::set<std::string> unanswered;  // nodes whose commits are executed without an answer
   bool& state_down = store.down;
   std::set<std::string> state_refuses;  // nodes
   std::set<std::string> cut_off;        // nodes that no peer's frame reaches, nor theirs any peer
--- a/tests/stale_records_test.cpp
+++ b/tests/stale_records_test.cpp
@@ -20,6 +20,17 @@
 
 struct StaleRecordsTest : NodeTest {};
 
+/// Node a has lost the last changes and reads all keys again, in pages of a few keys that take a while each.
+void read_all_keys_again(SmallWorld& world, std::size_t rows_in_page, Micros page_takes) {
+  world.watch_stalls = {"a"};
+  EXPECT_EQ(world.ask("b", net::Method::post, "/v1/jobs", job("j-9", 1)).status, 201);
+  world.store.rows_in_page = rows_in_page;
+  world.store.page_takes = page_takes;
+  world.store.forget_changes();
+  world.watch_stalls.clear();
+  world.engine.run_for(100 * kMillisecond);
+}
+
 /// The long tasks of job j-1 run on as many machines of share 0, which node a owns.
 struct RunningJob {
   RunningJob() {
@@ -65,5 +76,86 @@
   }
 }
 
+/// Node a owns share 0, on whose four machines the many short tasks of job j-1 take turns.
+struct WaitingTasks {
+  WaitingTasks() {
+    world.push_lost = 0;
+    world.most_machines = 4;
+    world.run_time = kSecond;
+    world.engine.run_for(20 * kSecond);
+    submit("j-1");
+    world.engine.run_for(30 * kSecond);
+    EXPECT_EQ(world.store.keys.at("s/holder/0").value.at("node"), "a");
+    EXPECT_FALSE(world.machines_of("j-1").empty());
+  }
+  void submit(const std::string& id) {
+    auto submission = job(id, 600);
+    submission["owner"] = "cards";
+    users.submit(submission);
+  }
+  SmallWorld world;
+  Users users{world};
+};
+
+// The same with nobody standing still: the owner's lease is renewed all the while, its records are being read
+// again.
+TEST_F(StaleRecordsTest, AnOwnerThatReadsAllKeysAgainStartsNothingThatWasCancelledMeanwhile) {
+  WaitingTasks w;
+  w.world.cut_off = {"a"};
+  read_all_keys_again(w.world, 4, 2 * kSecond);
+  w.users.cancel("j-1", "b");
+  w.world.engine.run_for(12 * kSecond);
+  EXPECT_TRUE(w.world.cancelled.contains("j-1"));
+  EXPECT_EQ(w.world.start_after_cancellation, 0) << w.world.started_cancelled;
+  EXPECT_EQ(w.world.store.keys.at("s/holder/0").value.at("node"), "a");
+  w.world.engine.run_for(60 * kSecond);
+  EXPECT_EQ(w.world.start_after_cancellation, 0) << w.world.started_cancelled;
+}
+
+// An owner whose lease is valid renews its workers' leases too: not for longer than a cancellation may stay
+// unknown.
+TEST_F(StaleRecordsTest, WorkersAreNotRenewedForLongOnOldRecords) {
+  RunningJob r;
+  r.world.cut_off = {"a"};
+  read_all_keys_again(r.world, 1, 2900 * kMillisecond);
+  r.users.cancel("j-1", "b");
+  r.world.engine.run_for(8 * kSecond);
+  EXPECT_TRUE(r.world.cancelled.contains("j-1"));
+  r.world.engine.run_for(r.world.cancel_time() + r.world.worker_lease());
+  EXPECT_EQ(r.owner_of_share_0(), "a");
+  r.expect_nothing_started_after_the_cancellation();
+}
+
+// A watch that a cut holds, while other requests are answered, costs no start: the changes are asked for
+// beside it.
+TEST_F(StaleRecordsTest, AWatchThatIsHeldStopsNoStartsAndHidesNoCancellation) {
+  WaitingTasks w;
+  w.world.cut_off = {"a"};
+  w.world.open_watches_held = {"a"};
+  w.submit("j-2");
+  w.users.cancel("j-1", "b");
+  w.world.engine.run_for(8 * kSecond);
+  EXPECT_TRUE(w.world.cancelled.contains("j-1"));
+  EXPECT_EQ(w.world.start_after_cancellation, 0) << w.world.started_cancelled;
+  const auto started = w.world.starts.size();
+  w.world.engine.run_for(20 * kSecond);
+  EXPECT_GT(w.world.starts.size(), started + 100);  // of j-2
+}
+
+// The leader rents and moves nothing by a view that is being read again.
+TEST_F(StaleRecordsTest, ALeaderRentsNothingOnAnOldView) {
+  WaitingTasks w;
+  ASSERT_EQ(w.world.store.keys.at("s/leader").value.at("node"), "a");
+  const auto machines = w.world.machines().size();
+  read_all_keys_again(w.world, 1, 2 * kSecond);
+  w.world.engine.run_for(6 * kSecond);
+  w.world.most_machines = 100;  // the cloud has more now, and there is work for them
+  w.world.engine.run_for(20 * kSecond);
+  EXPECT_EQ(w.world.machines().size(), machines);
+  w.world.store.page_takes = 0;
+  w.world.engine.run_for(30 * kSecond);
+  EXPECT_GT(w.world.machines().size(), machines);
+}
+
 }  // namespace
 }  // namespace aspenwick::testing
