An owner renews its workers only on records that a cancellation can't outlive

Same class as the incident's cause, in another path: may_renew_workers took a valid lease for knowledge. It now also asks that the job records are known as of store lease + unconfirmed bound + 3 s ago at most, which with a worker's lease fits into cancel_s; an ordinary outage reaches neither. With peers' confirmation it goes on as before.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -64,7 +64,11 @@
                    [this](int share) { return peer_service_.told_holder(share); }, [this] { poke(); }}) {
   store_.observe([this](Micros took) { state_calls_.add(took); });
   store_.watch(kShared, {[this](const std::vector<wire::Row>& rows) { reset(rows); },
-                         [this](const std::vector<wire::Row>& rows) { changed(rows); }, [this] { poke(); }});
+                         [this](const std::vector<wire::Row>& rows) { changed(rows); },
+                         [this] {
+                           keeper_.records_read();
+                           poke();
+                         }});
   loop_.every(kTick, [this] { tick(); });
   keeper_.find_former();
   loop_.every(kGossip, [this] { peer_service_.gossip(); });
--- a/src/app/keeper.cpp
+++ b/src/app/keeper.cpp
@@ -333,7 +333,7 @@
   renew();
   own_lease();
   if (!records().synced()) return;
-  own_.records_read(records().read_as_of());
+  records_read();
   keep_records_fresh();
   if (own_.lease()) needs_.records.announce(*own_.lease());
   for (const int s : own_.to_take(needs_.loop.now())) take_share(s);
--- a/src/app/keeper.h
+++ b/src/app/keeper.h
@@ -56,6 +56,8 @@
   /// All rows of a full reading are about to be applied, and were.
   void reading_keys() { own_.reading_keys(); }
   void keys_read() { own_.keys_read(needs_.loop.now()); }
+  /// Job records are known as of a later moment than before.
+  void records_read() { own_.records_read(records().read_as_of()); }
   /// Makes, ends and feeds holders as the keys and records now say.
   void sync();
   void job_seen(const std::string& id, const job::JobRecord& record);
--- a/src/share/ownership.cpp
+++ b/src/share/ownership.cpp
@@ -100,7 +100,13 @@
     if (fresh && it->second.state_ok) return false;
     if (!fresh || !confirms(it->second)) all_confirm = false;
   }
-  return all_confirm || now < valid_until_ + unconfirmed_bound();
+  return all_confirm || (now < valid_until_ + unconfirmed_bound() && records_known_for_renewal(now));
+}
+
+/// Whoever renews workers without its peers' word read all records so lately that a cancellation it lacks
+/// still has its time: this bound and a worker's lease fit into it. A lease says nothing of what was read.
+bool Ownership::records_known_for_renewal(Micros now) const {
+  return now - read_ < kHolderLease + kBoundMargin + unconfirmed_bound();
 }
 
 /// What keeps a peer that lacks the state service too from confirming a holder; null: nothing. Once it was
@@ -119,13 +125,14 @@
 
 bool Ownership::may_renew_workers(int share, Micros now) const {
   if (!lease_) return false;
-  return now < valid_until_ ||
+  return (now < valid_until_ && records_known_for_renewal(now)) ||
          beyond_lease(now, [&](const PeerState& peer) { return objection(share, peer) == nullptr; });
 }
 
 std::string Ownership::why_not_renewed(int share, Micros now) const {
   if (may_renew_workers(share, now)) return {};
   if (!lease_) return "our lease has ended";
+  if (now < valid_until_) return "records were read too long ago";
   for (const auto& s : platform_.siblings) {
     const auto it = peers_.find(s.name);
     if (it == peers_.end() || now - it->second.at >= kPeerFresh) return s.name + " isn't heard";
--- a/src/share/ownership.h
+++ b/src/share/ownership.h
@@ -122,6 +122,7 @@
   Micros renewal_bound(Micros now) const;
   bool surely_stopped(const FormerOwner& former, Micros now) const;
   bool beyond_lease(Micros now, const std::function<bool(const PeerState&)>& confirms) const;
+  bool records_known_for_renewal(Micros now) const;
   const char* objection(int share, const PeerState& peer) const;
 
   const wire::PlatformSettings& platform_;
