A leader that stood still plans once its machines and the other shares were heard again

It now plans two reports after a pause that it notices by its own timer; a new leader isn't held up.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -15,6 +15,8 @@
 constexpr Micros kGossip = 500 * kMillisecond;
 constexpr Micros kHeartbeat = 250 * kMillisecond;
 constexpr Micros kLead = 500 * kMillisecond;
+constexpr Micros kStoodStill = 4 * kLead;  // between two calls that are due every kLead
+constexpr Micros kReports = 2;             // of a worker: the first may find us before our lease is renewed
 constexpr Micros kKeep = 200 * kMillisecond;
 constexpr Micros kReplan = 5 * kSecond;
 constexpr Micros kMetrics = 10 * kSecond;
@@ -32,6 +34,7 @@
 
 Controller::Controller(const wire::PlatformSettings& platform, const OperatorSettings& ops, Needs needs)
     : loop_(needs.loop),
+      reports_every_(platform.report),
       store_(loop_, needs.http, platform),
       records_(platform,
                {loop_, store_,
@@ -175,15 +178,27 @@
 }
 
 void Controller::lead() {
+  notice_pause();
   // Until machine types are known no share can be told: nothing is rented before, and the leader asks for
   // them.
   if (!keeper_.leading() || !(records_.types().empty() || peer_service_.heard_all())) return leader_.rest();
-  if (keeper_.leading_refusal() == place::StartRefusal::none)
+  if (keeper_.leading_refusal() == place::StartRefusal::none && loop_.now() >= plans_after_)
     leader_.lead(keeper_.ownership().leader()->epoch);
   else
     ++lead_refused_;
 }
 
+/// We stood still: what our machines and the other shares say is as old as the pause, and a leader would rent
+/// for all that waits in its own share. One round of reports tells more.
+void Controller::notice_pause() {
+  const Micros now = loop_.now();
+  const Micros since_last = last_lead_ == 0 ? 0 : now - last_lead_;
+  last_lead_ = now;
+  if (since_last <= kStoodStill) return;
+  plans_after_ = now + kReports * reports_every_;
+  spdlog::info("this process stood still for {:.1f} s", to_seconds(since_last - kLead));
+}
+
 void Controller::replan() {
   records_.replan();
   records_.follow_graph();
--- a/src/app/controller.h
+++ b/src/app/controller.h
@@ -50,10 +50,12 @@
   void poke();
   void tick();
   void lead();
+  void notice_pause();
   void replan();
   void metrics();
 
   net::Loop& loop_;
+  const Micros reports_every_;
   store::Client store_;
   Records records_;
   Keeper keeper_;
@@ -63,6 +65,7 @@
   JobApi job_api_;
   WorkerApi worker_api_;
   bool tick_soon_ = false;
+  Micros last_lead_ = 0, plans_after_ = 0;
   std::uint64_t lead_refused_ = 0;  // times that it was due to plan and its view was too old
   Latency waits_, planning_, state_calls_;
 };
--- a/tests/stale_records_test.cpp
+++ b/tests/stale_records_test.cpp
@@ -157,5 +157,21 @@
   EXPECT_GT(w.world.machines().size(), machines);
 }
 
+// A leader that stood still sees machines that have not reported to it since, and no other share: it rents nothing for
+// the tasks that it takes for waiting before it has heard of both.
+TEST_F(StaleRecordsTest, ALeaderThatStoodStillRentsNothingBeforeItHasHeardOfItsMachines) {
+  for (Micros longer = 0; longer < 1300 * kMillisecond; longer += 100 * kMillisecond) {
+    SCOPED_TRACE(to_seconds(longer));
+    RunningJob r;
+    ASSERT_EQ(r.world.store.keys.at("s/leader").value.at("node"), "a");
+    const auto machines = r.world.machines().size();
+    r.world.interrupt_state_service(kPause + 2 * kSecond);
+    r.world.freeze("a", kPause + longer);
+    r.world.engine.run_for(kPause + longer + 20 * kSecond);
+    EXPECT_EQ(r.world.machines().size(), machines);
+    EXPECT_EQ(r.world.starts.at("j-1/0"), 2);
+  }
+}
+
 }  // namespace
 }  // namespace aspenwick::testing
