--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -17,6 +17,7 @@
 constexpr Micros kLead = 500 * kMillisecond;
 constexpr Micros kStoodStill = 4 * kLead;  // between two calls that are due every kLead
 constexpr Micros kReports = 2;             // of a worker: the first may find us before our lease is renewed
+constexpr Micros kWorkerGivesUp = 4 * kSecond;  // on an answer to a report that found us standing still
 constexpr Micros kKeep = 200 * kMillisecond;
 constexpr Micros kReplan = 5 * kSecond;
 constexpr Micros kMetrics = 10 * kSecond;
@@ -195,7 +196,7 @@
   const Micros since_last = last_lead_ == 0 ? 0 : now - last_lead_;
   last_lead_ = now;
   if (since_last <= kStoodStill) return;
-  plans_after_ = now + kReports * reports_every_;
+  plans_after_ = now + kWorkerGivesUp + kReports * reports_every_;
   spdlog::info("this process stood still for {:.1f} s", to_seconds(since_last - kLead));
 }
 
