Changes are told once and in order; no catch-up among the pages of a list; longer pauses in the pairs

A catch-up that was answered while all keys are read again would make rows of later pages look older than they are.

--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -208,9 +208,11 @@
 }
 
 void Client::read_all() {
+  reading_all_ = true;
   list(watch_prefix_,
        [this, sent = loop_.now()](bool ok, std::vector<wire::Row> rows, std::uint64_t revision) {
          if (!ok) return loop_.later(300 * kMillisecond, [this] { read_all(); });
+         reading_all_ = false;
          watch_revision_ = revision;
          watched_as_of_ = sent;
          spdlog::info("state service: all {} keys under {} read in {:.2f} s, as of revision {} or later",
@@ -240,7 +242,7 @@
 
 void Client::catch_up() {
   const Micros sent = loop_.now();
-  if (watch_revision_ == 0 || sent < next_catch_up_) return;
+  if (reading_all_ || sent < next_catch_up_) return;
   next_catch_up_ = sent + kCatchUpAgain;
   ++catch_ups_;
   const std::uint64_t since = watch_revision_;
@@ -254,6 +256,8 @@
                             next_catch_up_ = std::min(next_catch_up_, loop_.now() + kCatchUpRefused);
                             return;
                           }
+                          // Among the pages of a list, what is newer than the first would look older than it.
+                          if (reading_all_) return;
                           try {
                             if (tell_changes(wire::parse_changes(body), since, sent)) watcher_.caught_up();
                           } catch (const std::exception& e) {
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -64,7 +64,7 @@
   void observe(std::function<void(Micros)> observer) { observer_ = std::move(observer); }
 
   /// Asks now for what the watch has yet to tell, beside it: told as the watch's changes are. At most once a
-  /// second while an answer is awaited.
+  /// second, and not while all keys are read again.
   void catch_up();
   std::uint64_t catch_ups() const { return catch_ups_; }
   /// Answers that were older than what was known when they were asked for; left out.
@@ -108,6 +108,7 @@
   Watcher watcher_;
   std::uint64_t watch_revision_ = 0;
   Micros watched_as_of_ = 0;
+  bool reading_all_ = false;
   Micros next_catch_up_ = 0;
   std::uint64_t catch_ups_ = 0, old_answers_ = 0;
 };
--- a/tests/pairs_test.cpp
+++ b/tests/pairs_test.cpp
@@ -42,6 +42,27 @@
            w.freeze(n, static_cast<Micros>(w.random() % 20) * kSecond);
        },
        [](SmallWorld&, Users&) {}},
+      {"a node stands still while the state service is in and out",
+       [](SmallWorld& w, Users&) {
+         const auto n = some_node(w);
+         const Micros span = static_cast<Micros>(10 + w.random() % 110) * kSecond;
+         if (!w.up(n)) return;
+         w.freeze(n, span);
+         w.interrupt_state_service(span);
+       },
+       [](SmallWorld&, Users&) {}},
+      {"an open watch is told nothing", [](SmallWorld& w, Users&) { w.open_watches_held = {some_node(w)}; },
+       [](SmallWorld& w, Users&) { w.open_watches_held.clear(); }},
+      {"all keys are read again, slowly",
+       [](SmallWorld& w, Users& users) {
+         w.watch_stalls = {some_node(w)};
+         for (int s = 0; s < 2; ++s) users.act(), w.engine.run_for(kSecond);
+         w.store.rows_in_page = 4;
+         w.store.page_takes = 2 * kSecond;
+         w.store.forget_changes();
+         w.watch_stalls.clear();
+       },
+       [](SmallWorld& w, Users&) { w.store.rows_in_page = 1000, w.store.page_takes = 0; }},
       {"outage", [](SmallWorld& w, Users&) { w.state_down = true; },
        [](SmallWorld& w, Users&) { w.state_down = false; }},
       {"refused alone", [](SmallWorld& w, Users&) { w.state_refuses = {some_node(w)}; },
@@ -190,6 +211,7 @@
     act_for(static_cast<Micros>(w.random() % 20) * kSecond);
   }
   SCOPED_TRACE(played);
+  while (!w.all_awake()) act_for(kSecond);
   w.run_time = 2 * kSecond;
   users.close_looks = 0;
   users.expect_the_end();
@@ -200,6 +222,7 @@
   EXPECT_EQ(w.ran_twice, 0) << w.first_twice;
   EXPECT_EQ(w.ran_cancelled, "");
   EXPECT_EQ(w.broken, "");
+  EXPECT_EQ(w.ordered_after_cancellation, 0) << w.ordered_cancelled;
 }
 
 TEST_F(PairsTest, TwoTroublesThatOverlapBreakNoRule) {
--- a/tests/small_world.cpp
+++ b/tests/small_world.cpp
@@ -331,6 +331,11 @@
 
 void SmallWorld::freeze(const std::string& node, Micros span) { nodes_.at(node)->loop.freeze(span); }
 
+bool SmallWorld::all_awake() const {
+  return std::all_of(nodes_.begin(), nodes_.end(),
+                     [](const auto& n) { return n.second->loop.frozen() == 0; });
+}
+
 void SmallWorld::interrupt_state_service(Micros span) {
   constexpr Micros kDownFor = 700 * kMillisecond, kEvery = 1300 * kMillisecond;
   if (span <= 0) return;
@@ -517,7 +522,7 @@
   auto answered = [this, id, asked, sent, session, lost_back, node = w.node](int status,
                                                                              const std::string& text) {
     if (lost_back) return;
-    engine.at(kTrip, [this, id, asked, sent, session, status, text, node] {
+    engine.at(kTrip, [this, id, asked, sent, session, status, text, node, answered_at = engine.now] {
       auto it = workers_.find(id);
       if (it == workers_.end() || it->second.hangs_until > engine.now || it->second.asked != asked) return;
       Worker& worker = it->second;
@@ -533,7 +538,7 @@
         return;
       worker.token = j.at("baton").get<std::uint64_t>();
       worker.lease_ends = std::max(worker.lease_ends, sent + lease_);
-      for (const auto& o : j.at("orders")) obey(worker, o);
+      for (const auto& o : j.at("orders")) obey(worker, o, answered_at);
     });
   };
   auto send = [this](Node* to, const std::string& text, std::function<void(int, const std::string&)> done) {
@@ -561,15 +566,17 @@
   auto unheard = [](int, const std::string&) {};
   for (const auto& [id, w] : workers_)
     if (w.port == to.port && cut_apart(w, node)) return;
-  engine.at(delay, [this, to, body, done, answer_lost_too, unheard] {
-    carry_out(to, body, answer_lost_too ? unheard : done);
+  const Micros sent = engine.now;
+  engine.at(delay, [this, to, body, sent, done, answer_lost_too, unheard] {
+    carry_out(to, body, sent, answer_lost_too ? unheard : done);
   });
   if (by_chance(push_copied))
     engine.at(delay + static_cast<Micros>(random() % (120 * kSecond)),
-              [this, to, body, unheard] { carry_out(to, body, unheard); });
+              [this, to, body, sent, unheard] { carry_out(to, body, sent, unheard); });
 }
 
-void SmallWorld::carry_out(const wire::Endpoint& to, const std::string& body, const StateStore::Done& done) {
+void SmallWorld::carry_out(const wire::Endpoint& to, const std::string& body, Micros sent,
+                           const StateStore::Done& done) {
   for (auto& [id, w] : workers_) {
     if (w.port != to.port) continue;
     if (w.hangs_until > engine.now || w.deaf_until > engine.now || only_reaches.contains(id)) return;
@@ -579,7 +586,7 @@
         j.at("baton").get<std::uint64_t>() >= w.token && j.at("stint").get<std::uint64_t>() == w.session;
     if (good) {
       w.token = j.at("baton").get<std::uint64_t>();
-      for (const auto& o : j.at("orders")) obey(w, o);
+      for (const auto& o : j.at("orders")) obey(w, o, sent);
     }
     return done(good ? 200 : 409, say(w).dump());
   }
@@ -624,6 +631,14 @@
   if (gpus_limit > 0 && gpus > gpus_limit + 0.001) broken = "over the team's limit of GPUs: " + task;
 }
 
+/// No order to start leaves once the user was told.
+void SmallWorld::check_ordered(const Worker& w, const std::string& task, Micros ordered_at) {
+  const auto told = cancelled.find(task.substr(0, task.find('/')));
+  if (told == cancelled.end() || ordered_at - told->second <= ordered_after_cancellation) return;
+  ordered_after_cancellation = ordered_at - told->second;
+  ordered_cancelled = task + " on " + w.id + " at " + std::to_string(to_seconds(engine.now));
+}
+
 /// For some seconds: between the end of a task and the start of the next there is room that nobody leaves
 /// unused.
 bool SmallWorld::lasts(const std::string& what, bool holds) {
@@ -775,7 +790,7 @@
   if (completed.insert(key.first).second) on_completed(key.first);
 }
 
-void SmallWorld::obey(Worker& w, const Json& order) {
+void SmallWorld::obey(Worker& w, const Json& order, Micros ordered_at) {
   const auto verb = order.at("verb").get<std::string>(), task = order.at("piece").get<std::string>();
   const auto attempt = order.at("try").get<std::uint64_t>();
   const std::pair key{task, attempt};
@@ -805,6 +820,7 @@
   ++starts[task];
   check_cancelled(w, task);
   check_place(w, task);
+  check_ordered(w, task, ordered_at);
   attempts.insert(attempt);
   w.tasks[key] = {};
   if (is_gang(task)) {
--- a/tests/small_world.h
+++ b/tests/small_world.h
@@ -141,6 +141,8 @@
   void start(const std::string& node);
   void crash(const std::string& node);
   void freeze(const std::string& node, Micros span);
+  /// No node stands still any more.
+  bool all_awake() const;
   /// For so long the state service is down for 0.7 s of each 1.3 s: each outage restores all leases.
   void interrupt_state_service(Micros span);
   bool up(const std::string& node) const { return nodes_.contains(node); }
@@ -227,6 +229,9 @@
   /// The latest start after its job's user was told that it is cancelled.
   Micros start_after_cancellation = 0;
   std::string started_cancelled;
+  /// The same by when its order left the node, however long it was on its way.
+  Micros ordered_after_cancellation = 0;
+  std::string ordered_cancelled;
   /// Accepted jobs that nobody has asked to cancel. While all is calm, none of them waits for longer than
   /// this beside a machine with room that fits, its team under its limit; the first that did.
   std::set<std::string> wanted;
@@ -247,11 +252,13 @@
   bool by_chance(double part) { return std::uniform_real_distribution<>(0, 1)(random) < part; }
   void push(const std::string& node, const std::string& path, const wire::Endpoint& to,
             const std::string& body, const StateStore::Done& done);
-  void carry_out(const wire::Endpoint& to, const std::string& body, const StateStore::Done& done);
+  void carry_out(const wire::Endpoint& to, const std::string& body, Micros sent,
+                 const StateStore::Done& done);
   Worker* some_machine();
   void check_lease(Worker& w);
   void check_cancelled(const Worker& w, const std::string& task);
   void check_place(const Worker& w, const std::string& task);
+  void check_ordered(const Worker& w, const std::string& task, Micros ordered_at);
   void check_waits();
   bool has_room(const Json& job, int tasks);
   bool lasts(const std::string& what, bool holds);
@@ -266,7 +273,7 @@
   void complete(Worker& w, const std::pair<std::string, std::uint64_t>& key);
   void try_next_node(Worker& w);
   void report(Worker& w);
-  void obey(Worker& w, const Json& order);
+  void obey(Worker& w, const Json& order, Micros ordered_at);
   Json say(Worker& w) const;
 
   app::OperatorSettings settings_;
--- a/tests/stale_records_test.cpp
+++ b/tests/stale_records_test.cpp
@@ -157,8 +157,8 @@
   EXPECT_GT(w.world.machines().size(), machines);
 }
 
-// A leader that stood still sees machines that have not reported to it since, and no other share: it rents nothing for
-// the tasks that it takes for waiting before it has heard of both.
+// A leader that stood still sees machines that have not reported to it since, and no other share: it rents
+// nothing for the tasks that it takes for waiting before it has heard of both.
 TEST_F(StaleRecordsTest, ALeaderThatStoodStillRentsNothingBeforeItHasHeardOfItsMachines) {
   for (Micros longer = 0; longer < 1300 * kMillisecond; longer += 100 * kMillisecond) {
     SCOPED_TRACE(to_seconds(longer));
