--- a/tests/stale_records_test.cpp
+++ b/tests/stale_records_test.cpp
@@ -31,8 +31,17 @@
   world.engine.run_for(100 * kMillisecond);
 }
 
+struct World {
+  std::string owner_of_share_0() const {
+    const auto row = world.store.keys.find("s/holder/0");
+    return row == world.store.keys.end() ? "" : row->second.value.at("node").get<std::string>();
+  }
+  SmallWorld world;
+  Users users{world};
+};
+
 /// The long tasks of job j-1 run on as many machines of share 0, which node a owns.
-struct RunningJob {
+struct RunningJob : World {
   RunningJob() {
     world.push_lost = 0;
     world.run_time = kLongRun;
@@ -45,18 +54,12 @@
     EXPECT_EQ(owner_of_share_0(), "a");
     EXPECT_EQ(world.starts.size(), static_cast<std::size_t>(kTasks));
   }
-  std::string owner_of_share_0() const {
-    const auto row = world.store.keys.find("s/holder/0");
-    return row == world.store.keys.end() ? "" : row->second.value.at("node").get<std::string>();
-  }
   void expect_nothing_started_after_the_cancellation() const {
     EXPECT_TRUE(world.cancelled.contains("j-1"));
     EXPECT_EQ(world.start_after_cancellation, 0) << world.started_cancelled;
     EXPECT_EQ(world.ran_cancelled, "");
     EXPECT_EQ(world.ran_twice, 0) << world.first_twice;
   }
-  SmallWorld world;
-  Users users{world};
 };
 
 TEST_F(StaleRecordsTest, AnOwnerThatStoodStillStartsNothingThatWasCancelledMeanwhile) {
@@ -77,7 +80,7 @@
 }
 
 /// Node a owns share 0, on whose four machines the many short tasks of job j-1 take turns.
-struct WaitingTasks {
+struct WaitingTasks : World {
   WaitingTasks() {
     world.push_lost = 0;
     world.most_machines = 4;
@@ -85,7 +88,7 @@
     world.engine.run_for(20 * kSecond);
     submit("j-1");
     world.engine.run_for(30 * kSecond);
-    EXPECT_EQ(world.store.keys.at("s/holder/0").value.at("node"), "a");
+    EXPECT_EQ(owner_of_share_0(), "a");
     EXPECT_FALSE(world.machines_of("j-1").empty());
   }
   void submit(const std::string& id) {
@@ -93,8 +96,6 @@
     submission["owner"] = "cards";
     users.submit(submission);
   }
-  SmallWorld world;
-  Users users{world};
 };
 
 // The same with nobody standing still: the owner's lease is renewed all the while, its records are being read
@@ -107,7 +108,7 @@
   w.world.engine.run_for(12 * kSecond);
   EXPECT_TRUE(w.world.cancelled.contains("j-1"));
   EXPECT_EQ(w.world.start_after_cancellation, 0) << w.world.started_cancelled;
-  EXPECT_EQ(w.world.store.keys.at("s/holder/0").value.at("node"), "a");
+  EXPECT_EQ(w.owner_of_share_0(), "a");
   w.world.engine.run_for(60 * kSecond);
   EXPECT_EQ(w.world.start_after_cancellation, 0) << w.world.started_cancelled;
 }
@@ -173,5 +174,37 @@
   }
 }
 
+// The node that confirms has not read that the share changed its owner: the former one's word is not enough.
+TEST_F(StaleRecordsTest, AFormerOwnersWordConfirmsNoCancellation) {
+  WaitingTasks w;
+  w.world.watch_stalls = {"c"};
+  w.world.crash("a");
+  for (int i = 0; i < 100 && w.owner_of_share_0() != "b"; ++i) w.world.engine.run_for(kSecond / 10);
+  ASSERT_EQ(w.owner_of_share_0(), "b");
+  w.world.start("a");
+  w.world.engine.run_for(1500 * kMillisecond);
+  w.world.open_watches_held = w.world.cut_off = {"b"};
+  const auto started = w.world.starts.size();
+  w.users.cancel("j-1", "c");
+  w.world.engine.run_for(2 * kSecond);
+  ASSERT_GT(w.world.starts.size(), started);  // by b, which doesn't know yet
+  w.world.engine.run_for(8 * kSecond);
+  EXPECT_TRUE(w.world.cancelled.contains("j-1"));
+  EXPECT_EQ(w.world.start_after_cancellation, 0) << w.world.started_cancelled;
+}
+
+// Where the owner can be reached, its word costs a round trip and the watch's pause, and no retry.
+TEST_F(StaleRecordsTest, ACancellationIsConfirmedAtOnceWhereItsOwnerHears) {
+  WaitingTasks w;
+  for (int i = 2; i <= 12; ++i) {
+    const std::string id = "j-" + std::to_string(i);
+    w.submit(id);
+    w.world.engine.run_for(kSecond + i * 23 * kMillisecond);
+    const Micros asked = w.world.engine.now;
+    EXPECT_EQ(w.world.ask("b", net::Method::post, "/v1/jobs/" + id + "/withdraw").status, 200);
+    EXPECT_LE(w.world.engine.now - asked, 120 * kMillisecond);
+  }
+}
+
 }  // namespace
 }  // namespace aspenwick::testing
