--- a/bench/scale_bench.cpp
+++ b/bench/scale_bench.cpp
@@ -9,13 +9,13 @@
 #include "fleet/provisioner.h"
 #include "job/graph.h"
 #include "place/rnn.h"
-#include "share/holder.h"
 #include "share/peer_frame.h"
+#include "share/share_controller.h"
 
 namespace aspenwick {
 namespace {
 
-using share::Holder;
+using share::ShareController;
 using wire::Order;
 
 constexpr int kCpus = 16;
@@ -72,13 +72,13 @@
   wire::PlatformSettings settings = platform();
   std::vector<wire::MachineType> machine_types = types();
   std::map<std::string, job::JobRecord> jobs;
-  std::unique_ptr<Holder> holder;
+  std::unique_ptr<ShareController> holder;
   std::vector<wire::WorkerReport> reports;
   Micros now = 1000 * kSecond;
 
   explicit World(std::int64_t n, std::uint32_t waiting = 0, bool empty = false) {
-    holder = std::make_unique<Holder>(
-        settings, machine_types, share::HolderSettings{},
+    holder = std::make_unique<ShareController>(
+        settings, machine_types, share::ShareControllerSettings{},
         [this](const std::string& id) -> const job::JobRecord* {
           auto it = jobs.find(id);
           return it == jobs.end() ? nullptr : &it->second;
@@ -234,8 +234,8 @@
   World before(state.range(0));
   const std::size_t heap = mallinfo2().uordblks;
   for (auto _ : state) {
-    Holder h(
-        before.settings, before.machine_types, share::HolderSettings{},
+    ShareController h(
+        before.settings, before.machine_types, share::ShareControllerSettings{},
         [&](const std::string& id) -> const job::JobRecord* { return &before.jobs.at(id); }, 2, before.now,
         before.now);
     for (const auto& [id, r] : before.jobs) h.job_known(id, r, false, before.now, 0);
@@ -252,7 +252,7 @@
       h.on_report(r, before.now, place::StartRefusal::none);
     }
     if (!h.rebuilt()) state.SkipWithError("not rebuilt");
-    state.counters["heap_MB"] = static_cast<double>(mallinfo2().uordblks - heap) / 1e6;  // this holder's
+    state.counters["heap_MB"] = static_cast<double>(mallinfo2().uordblks - heap) / 1e6;  // this owner's
   }
 }
 
@@ -277,7 +277,7 @@
   }
 }
 
-/// Reading `n` job records, nine in ten of them history, into the graph and a holder.
+/// Reading `n` job records, nine in ten of them history, into the graph and a owner.
 void ColdStart(benchmark::State& state) {
   std::vector<std::pair<std::string, wire::Json>> rows;
   for (int i = 0; i < state.range(0); ++i) {
@@ -294,8 +294,8 @@
       auto it = jobs.find(id);
       return it == jobs.end() ? nullptr : &it->second;
     });
-    Holder h(
-        settings, machine_types, share::HolderSettings{},
+    ShareController h(
+        settings, machine_types, share::ShareControllerSettings{},
         [](const std::string&) -> const job::JobRecord* { return nullptr; }, 1, 0, 0);
     for (const auto& [id, value] : rows) {
       auto& kept = jobs[id] = job::record_from_json(value, 1);
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -66,7 +66,7 @@
                      return leader_.share_for(r.machine, r.type, owned_shares_.ownership().shares());
                    },
                    [this](const std::string& m) { leader_.adopted(m); },
-                   [this](int share) { return peer_service_.told_holder(share); }, [this] { poke(); }}) {
+                   [this](int share) { return peer_service_.told_owner(share); }, [this] { poke(); }}) {
   store_.observe([this](Micros took) { state_calls_.add(took); });
   store_.watch(kShared, {[this](const std::vector<wire::Row>& rows) { reset(rows); },
                          [this](const std::vector<wire::Row>& rows) { changed(rows); },
@@ -131,7 +131,7 @@
   std::set<std::string> seen;
   for (const auto& r : rows) seen.insert(r.key);
   owned_shares_.reading_keys();
-  // Machines and jobs before holders: a share's holder is made from all that was there when it was taken.
+  // Machines and jobs before owners: a share's owner is made from all that was there when it was taken.
   for (const auto& key : records_.missing(seen)) apply({key, nullptr, 0, true});
   for (const auto& key : owned_shares_.missing(seen, first)) apply({key, nullptr, 0, true});
   for (const auto& r : rows) apply(r);
@@ -168,12 +168,12 @@
   bool more = false;
   for (auto& [s, owned] : owned_shares_.all()) {
     const Micros began = loop_.now();
-    more |= owned.holder->tick(began, owned_shares_.refusal(owned));
+    more |= owned.controller->tick(began, owned_shares_.refusal(owned));
     planning_.add(loop_.now() - began);
-    for (const Micros w : owned.holder->take_waits()) waits_.add(w);
+    for (const Micros w : owned.controller->take_waits()) waits_.add(w);
   }
   for (auto& [s, owned] : owned_shares_.all())
-    for (const auto& [machine, to] : owned.holder->drained()) result_writer_.move_machine(machine, to);
+    for (const auto& [machine, to] : owned.controller->drained()) result_writer_.move_machine(machine, to);
   worker_api_.push_orders();
   result_writer_.tick();
   if (more) poke();
@@ -214,7 +214,7 @@
       wire::Resources total, free;
     };
     std::map<std::string, Sum> sums;
-    for (const auto& m : owned.holder->machine_states(loop_.now())) {
+    for (const auto& m : owned.controller->machine_states(loop_.now())) {
       const auto* rec = records_.machine(m.id);
       if (!m.usable || !rec) continue;
       Sum& sum = sums[rec->type + (rec->spot ? " spot" : "")];
@@ -227,11 +227,11 @@
       spdlog::info("metrics: share {} {}: {} machines, cpus {} of {} free, gpus {} of {} free", share, type,
                    sum.machines, sum.free.cpus / 1'000'000, sum.total.cpus / 1'000'000,
                    sum.free.gpus / 1'000'000, sum.total.gpus / 1'000'000);
-    spdlog::info("metrics: share {} waiting tasks {}", share, owned.holder->waiting());
+    spdlog::info("metrics: share {} waiting tasks {}", share, owned.controller->waiting());
     spdlog::info("metrics: share {} attempts freed:{}", share,
-                 counts_text<place::Freed>(owned.holder->freed()));
+                 counts_text<place::Freed>(owned.controller->freed()));
     spdlog::info("metrics: share {} starts refused:{}", share,
-                 counts_text<place::StartRefusal>(owned.holder->refused()));
+                 counts_text<place::StartRefusal>(owned.controller->refused()));
   }
   for (std::size_t i = 0; i < place::kInvariants; ++i)
     if (const auto count = place::violations().at(i); count > 0)
--- a/src/app/job_api.cpp
+++ b/src/app/job_api.cpp
@@ -7,14 +7,14 @@
 namespace aspenwick::app {
 
 using net::ExchangePtr;
-using share::HolderKey;
+using share::OwnerKey;
 using wire::JobStatus;
 
 namespace {
 constexpr Micros kPeerAnswer = 300 * kMillisecond;
 constexpr Micros kConfirmAgain = 10 * kMillisecond;
 constexpr int kMostLookUps = 32;                  // of needed jobs that we don't know, for one submission
-constexpr std::size_t kMostTallies = 4096;        // kept of what holders told last
+constexpr std::size_t kMostTallies = 4096;        // kept of what owners told last
 constexpr int kCancelTries = 3;                   // against changes made elsewhere meanwhile
 constexpr std::size_t kTransactionRoom = 40'000;  // of the 64 KiB that a transaction may take
 }  // namespace
@@ -39,7 +39,7 @@
   if (it == asks_.end()) return;
   const StatusWait wait = std::move(it->second);
   asks_.erase(it);
-  // A holder that doesn't know the job yet (a share changes hands) has nothing to say of it.
+  // A owner that doesn't know the job yet (a share changes hands) has nothing to say of it.
   if (t.known) note_tally(wait.job, {t.done, t.running});
   answer(wait.exchange, 200, wait.job);
 }
@@ -251,8 +251,8 @@
   const auto* known = needs_.records.job(id);
   const int share = known && known->spec ? own.share_of_team(known->spec->team) : -1;
   if (const auto* owned = needs_.owned_shares.find(share)) {
-    if (const auto tally = owned->holder->tally(id)) note_tally(id, *tally);
-  } else if (const HolderKey* key = own.holder(share); key && key->node != platform_.name) {
+    if (const auto tally = owned->controller->tally(id)) note_tally(id, *tally);
+  } else if (const OwnerKey* key = own.owner(share); key && key->node != platform_.name) {
     const std::uint32_t ask = ++asked_;
     if (needs_.peers.send(key->node, share::StatusAsk{ask, id})) {
       asks_[ask] = {x, id};
--- a/src/app/job_api.h
+++ b/src/app/job_api.h
@@ -81,7 +81,7 @@
   std::uint64_t tags_ = 0, requests_ = 0;
   std::uint32_t asked_ = 0;
   std::map<std::uint32_t, StatusWait> asks_;
-  std::unordered_map<std::string, Tally> tallies_;  // of jobs that were not over, as their holders told last
+  std::unordered_map<std::string, Tally> tallies_;  // of jobs that were not over, as their owners told last
 };
 
 }  // namespace aspenwick::app
--- a/src/app/keys.h
+++ b/src/app/keys.h
@@ -4,11 +4,11 @@
 
 namespace aspenwick::app {
 
-// Keys: all under kShared are followed by every node; progress is read by a share's next holder only.
+// Keys: all under kShared are followed by every node; progress is read by a share's next owner only.
 inline const std::string kShared = "s/";
 inline const std::string kJob = "s/job/";
 inline const std::string kMachine = "s/machine/";
-inline const std::string kHolder = "s/holder/";
+inline const std::string kOwner = "s/holder/";
 inline const std::string kLeader = "s/leader";
 inline const std::string kToken =
     "s/token/";  // + share, or "leader": a counter each, or all would race for one
--- a/src/app/operator_settings.h
+++ b/src/app/operator_settings.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "fleet/provisioner.h"
-#include "share/holder.h"
+#include "share/share_controller.h"
 
 namespace aspenwick::app {
 
--- a/src/app/owned_shares.cpp
+++ b/src/app/owned_shares.cpp
@@ -8,7 +8,7 @@
 
 namespace aspenwick::app {
 
-using share::HolderKey;
+using share::OwnerKey;
 
 namespace {
 constexpr Micros kLoadAgain = 300 * kMillisecond;
@@ -25,7 +25,7 @@
 // ---------------------------------------------------------------- the watch
 
 bool OwnedShares::apply(const wire::Row& row) {
-  if (!row.key.starts_with(kHolder) && row.key != kLeader && !row.key.starts_with(kToken)) return false;
+  if (!row.key.starts_with(kOwner) && row.key != kLeader && !row.key.starts_with(kToken)) return false;
   try {
     read(row);
   } catch (const std::exception& e) {
@@ -36,18 +36,18 @@
 
 void OwnedShares::read(const wire::Row& row) {
   const std::string& key = row.key;
-  if (key.starts_with(kHolder)) {
-    const int share = std::stoi(key.substr(kHolder.size()));
+  if (key.starts_with(kOwner)) {
+    const int share = std::stoi(key.substr(kOwner.size()));
     if (share < 0 || share >= own_.shares()) return;
     const Micros now = needs_.loop.now();
-    if (row.removed) return own_.holder_removed(share, now);
-    own_.holder_set(share, share::holder_from_json(row.value, row.version), now);
-    end_if_former(*own_.holder(share));
+    if (row.removed) return own_.owner_removed(share, now);
+    own_.owner_set(share, share::owner_from_json(row.value, row.version), now);
+    end_if_former(*own_.owner(share));
   } else if (key == kLeader) {
     if (row.removed)
       own_.leader_removed(needs_.loop.now());
     else
-      own_.leader_set(share::holder_from_json(row.value, row.version)), end_if_former(*own_.leader());
+      own_.leader_set(share::owner_from_json(row.value, row.version)), end_if_former(*own_.leader());
   } else if (!row.removed) {
     tokens_[key] = {row.value.at("n").get<std::uint64_t>(), row.version};
   }
@@ -56,14 +56,14 @@
 std::vector<std::string> OwnedShares::missing(const std::set<std::string>& seen, bool first) const {
   std::vector<std::string> out;
   for (int s = 0; s < own_.shares(); ++s) {
-    const std::string key = kHolder + std::to_string(s);
-    if (!seen.contains(key) && (own_.holder(s) || first)) out.push_back(key);
+    const std::string key = kOwner + std::to_string(s);
+    if (!seen.contains(key) && (own_.owner(s) || first)) out.push_back(key);
   }
   if (!seen.contains(kLeader) && (own_.leader() || first)) out.push_back(kLeader);
   return out;
 }
 
-void OwnedShares::end_if_former(const HolderKey& key) {
+void OwnedShares::end_if_former(const OwnerKey& key) {
   // Also one that a commit of our former process has put there after we had read all keys: it would keep the
   // share from everybody until its lease is over.
   if (key.node == platform_.name && !own_.ours(&key)) end_former(key.lease);
@@ -92,17 +92,17 @@
   });
 }
 
-// ---------------------------------------------------------------- holders
+// ---------------------------------------------------------------- owners
 
 void OwnedShares::sync() {
   if (!records().synced()) return;
   for (auto it = owned_.begin(); it != owned_.end();) {
-    const HolderKey* key = own_.holder(it->first);
+    const OwnerKey* key = own_.owner(it->first);
     OwnedShare& owned = it->second;
     if (own_.ours(key) && owned.raising == key->epoch && owned.raising != 0) {
       spdlog::info("share {}: goes on with epoch {}", it->first, key->epoch);
       owned.epoch = key->epoch, owned.key_version = key->version, owned.raising = 0;
-      owned.holder->raise_epoch(key->epoch);
+      owned.controller->raise_epoch(key->epoch);
       last_epochs_[it->first] = std::max(last_epochs_[it->first], key->epoch);
     }
     if (own_.ours(key) && key->epoch == owned.epoch) {
@@ -113,12 +113,12 @@
     it = owned_.erase(it);
   }
   for (int s = 0; s < own_.shares() && !records().types().empty(); ++s)
-    if (const HolderKey* key = own_.holder(s); own_.ours(key) && !owned_.contains(s)) make_holder(s, *key);
+    if (const OwnerKey* key = own_.owner(s); own_.ours(key) && !owned_.contains(s)) make_controller(s, *key);
   const Micros now = needs_.loop.now();
   const auto changed = needs_.records.take_changed_machines();
   for (auto& [share, owned] : owned_) {
     const int s = share;
-    share::Holder& h = *owned.holder;
+    share::ShareController& h = *owned.controller;
     auto known = [&h, s, now, taken = owned.taken_version](const share::MachineRecord& m) {
       if (m.share == s) h.machine_known(m, m.version > taken, now);
     };
@@ -137,14 +137,14 @@
   }
 }
 
-std::string OwnedShares::why_not_held(const HolderKey* key) const {
+std::string OwnedShares::why_not_held(const OwnerKey* key) const {
   if (!own_.lease()) return "our lease has ended";
   if (!key) return "its key is gone";
   return "its key is " + key->node + "'s with epoch " + std::to_string(key->epoch) + " at revision " +
          std::to_string(key->version);
 }
 
-void OwnedShares::make_holder(int s, const HolderKey& key) {
+void OwnedShares::make_controller(int s, const OwnerKey& key) {
   std::uint64_t& last = last_epochs_[s];
   if (key.epoch < last)
     return place::violated(place::Invariant::epochs_rise, "share " + std::to_string(s) + ": epoch " +
@@ -156,13 +156,13 @@
   owned.key_version = owned.taken_version = key.version;
   owned.made = ++made_;
   owned.loading = true;
-  share::HolderSettings hs;
+  share::ShareControllerSettings hs;
   hs.share = s;
   hs.rnn = settings_.rnn;
   hs.suspect_for = settings_.suspect_for;
   hs.error_backoff = settings_.error_backoff;
   const Micros now = needs_.loop.now();
-  owned.holder = std::make_unique<share::Holder>(
+  owned.controller = std::make_unique<share::ShareController>(
       platform_, records().types(), hs, [this](const std::string& id) { return records().job(id); },
       owned.epoch, now, own_.renewable_until(s, now));
   spdlog::info(
@@ -172,39 +172,39 @@
     if (!record.final()) job_seen(id, record);
 }
 
-/// What its former holders recorded as done, read until the state service answers.
+/// What its former owners recorded as done, read until the state service answers.
 void OwnedShares::load_done(int s, std::uint64_t made) {
   const std::string prefix = kProgress + std::to_string(s) + "/";
-  needs_.store.list(prefix, [this, s, made, prefix](bool ok, const std::vector<wire::Row>& rows,
-                                                    std::uint64_t) {
-    OwnedShare* owned = find(s, made);
-    if (!owned) return;
-    if (!ok) return needs_.loop.later(kLoadAgain, [this, s, made] { load_done(s, made); });
-    std::vector<std::string> over;
-    for (const auto& r : rows) {
-      const auto name = share::Holder::parse_row_name(r.key.substr(prefix.size()));
-      if (!name || !r.value.is_string()) continue;
-      if (const auto* j = records().job(name->first); j && j->final()) over.push_back(r.key);
-      owned->holder->load_done(name->first, name->second, r.value.get<std::string>(), r.version);
-    }
-    needs_.records.delete_keys(std::move(over));  // left by a holder that ended, or that knew no such rows
-    owned->holder->loaded(needs_.loop.now());
-    needs_.poke();
-  });
+  needs_.store.list(
+      prefix, [this, s, made, prefix](bool ok, const std::vector<wire::Row>& rows, std::uint64_t) {
+        OwnedShare* owned = find(s, made);
+        if (!owned) return;
+        if (!ok) return needs_.loop.later(kLoadAgain, [this, s, made] { load_done(s, made); });
+        std::vector<std::string> over;
+        for (const auto& r : rows) {
+          const auto name = share::ShareController::parse_row_name(r.key.substr(prefix.size()));
+          if (!name || !r.value.is_string()) continue;
+          if (const auto* j = records().job(name->first); j && j->final()) over.push_back(r.key);
+          owned->controller->load_done(name->first, name->second, r.value.get<std::string>(), r.version);
+        }
+        needs_.records.delete_keys(std::move(over));  // left by a owner that ended, or that knew no such rows
+        owned->controller->loaded(needs_.loop.now());
+        needs_.poke();
+      });
 }
 
 void OwnedShares::job_seen(const std::string& id, const job::JobRecord& record) {
   for (auto& [share, owned] : owned_) {
     // A job that waits for others has no part in anything yet.
     if (!record.final() && (!record.spec || !records().graph().ready(id))) continue;
-    if (record.spec) owned.holder->note_gpu_job(*record.spec);
+    if (record.spec) owned.controller->note_gpu_job(*record.spec);
     if (!record.final() && own_.share_of_team(record.spec->team) != share) continue;
     const std::uint64_t since = std::max(record.version, records().graph().ready_version(id));
-    owned.holder->job_known(id, record, since > owned.taken_version, needs_.loop.now(),
-                            needs_.loop.time_of_day());
+    owned.controller->job_known(id, record, since > owned.taken_version, needs_.loop.now(),
+                                needs_.loop.time_of_day());
     if (!record.final())
-      owned.holder->set_course(id, records().graph().course(id, record), needs_.loop.now(),
-                               needs_.loop.time_of_day());
+      owned.controller->set_course(id, records().graph().course(id, record), needs_.loop.now(),
+                                   needs_.loop.time_of_day());
   }
 }
 
@@ -214,7 +214,7 @@
   if (own_.lease() || lease_asked_) return;
   lease_asked_ = true;
   const Micros sent = needs_.loop.now();
-  needs_.store.grant(share::kHolderLease, [this, sent](int code, std::uint64_t lease) {
+  needs_.store.grant(share::kOwnerLease, [this, sent](int code, std::uint64_t lease) {
     lease_asked_ = false;
     if (code != 200) return;
     own_.lease_granted(lease, sent);
@@ -248,17 +248,17 @@
                            std::function<void(int)> done) {
   auto it = tokens_.find(counter);
   const std::uint64_t seen = it == tokens_.end() ? 0 : it->second.second;
-  const HolderKey mine{platform_.name, *own_.lease(), highest_epoch() + 1, 0};
-  // With the leases, ahead of all else: while a share has no holder, its workers' leases run out.
+  const OwnerKey mine{platform_.name, *own_.lease(), highest_epoch() + 1, 0};
+  // With the leases, ahead of all else: while a share has no owner, its workers' leases run out.
   needs_.store.commit(
       {{key, 0}, {counter, seen}},
-      {{counter, {{"n", mine.epoch}}, {}, false}, {key, share::holder_to_json(mine), mine.lease, false}},
+      {{counter, {{"n", mine.epoch}}, {}, false}, {key, share::owner_to_json(mine), mine.lease, false}},
       store::Urgency::now, [done = std::move(done)](int code, std::uint64_t) { done(code); });
 }
 
 void OwnedShares::take_share(int s) {
   if (!taking_.insert(s).second) return;
-  take_key(kHolder + std::to_string(s), kToken + std::to_string(s), [this, s](int code) {
+  take_key(kOwner + std::to_string(s), kToken + std::to_string(s), [this, s](int code) {
     if (code == 200) spdlog::info("share {}: taken", s);
     // The watch tells.
     needs_.loop.later(code == 200 ? kSecond : 150 * kMillisecond, [this, s] { taking_.erase(s); });
@@ -282,7 +282,7 @@
 }
 
 /// Until the key is surely gone or surely not: meanwhile nothing is started and no report answered. A request
-/// that got lost left a share without anyone for as long as its holder lived. `unsure`: an earlier try may be
+/// that got lost left a share without anyone for as long as its owner lived. `unsure`: an earlier try may be
 /// executed yet; only a key that has changed since refuses it for good.
 void OwnedShares::remove_key(int s, std::uint64_t made, std::uint64_t version, bool unsure) {
   OwnedShare* owned = find(s, made);
@@ -291,7 +291,7 @@
     owned->handing_back = false;
     return;
   }
-  const std::string key = kHolder + std::to_string(s);
+  const std::string key = kOwner + std::to_string(s);
   needs_.store.commit({{key, version}}, {{key, nullptr, {}, true}}, store::Urgency::user,
                       [this, s, made, version, unsure](int code, std::uint64_t) {
                         OwnedShare* h = find(s, made);
@@ -306,26 +306,26 @@
 }
 
 /// Before the numbers of an epoch are used up, the share's key gets a higher one in place: same lease, same
-/// holder, no takeover. Whether a try was executed is told by the key; a further try asks for the same epoch,
+/// owner, no takeover. Whether a try was executed is told by the key; a further try asks for the same epoch,
 /// and the guard lets one of them through.
 void OwnedShares::raise_epoch(int s, OwnedShare& owned) {
   const Micros now = needs_.loop.now();
-  if (owned.holder->attempts() < settings_.attempts_per_epoch || owned.handing_back ||
+  if (owned.controller->attempts() < settings_.attempts_per_epoch || owned.handing_back ||
       !own_.lease_valid(now) || now - owned.raised < kRaiseAgain)
     return;
   owned.raised = now;
   if (owned.raising == 0) owned.raising = highest_epoch() + 1;
-  const std::string key = kHolder + std::to_string(s), counter = kToken + std::to_string(s);
+  const std::string key = kOwner + std::to_string(s), counter = kToken + std::to_string(s);
   const auto it = tokens_.find(counter);
-  const HolderKey mine{platform_.name, *own_.lease(), owned.raising, 0};
+  const OwnerKey mine{platform_.name, *own_.lease(), owned.raising, 0};
   needs_.store.commit(
       {{key, owned.key_version}, {counter, it == tokens_.end() ? 0 : it->second.second}},
-      {{counter, {{"n", mine.epoch}}, {}, false}, {key, share::holder_to_json(mine), mine.lease, false}},
+      {{counter, {{"n", mine.epoch}}, {}, false}, {key, share::owner_to_json(mine), mine.lease, false}},
       store::Urgency::user,
-      [this, s, made = owned.made, mine = HolderKey(mine)](int code, std::uint64_t revision) mutable {
+      [this, s, made = owned.made, mine = OwnerKey(mine)](int code, std::uint64_t revision) mutable {
         if (code != 200 || !find(s, made)) return;
         mine.version = revision;
-        own_.holder_set(s, mine, needs_.loop.now());
+        own_.owner_set(s, mine, needs_.loop.now());
         sync();
       });
 }
@@ -377,7 +377,7 @@
 place::StartRefusal OwnedShares::refusal(OwnedShare& owned) {
   auto refusal = own_.acting_refusal(needs_.loop.now(), records().read_as_of());
   if (owned.handing_back) refusal = place::StartRefusal::share_handed_over;
-  if (refusal != owned.refusal) say_refusal(owned.holder->share(), owned, refusal);
+  if (refusal != owned.refusal) say_refusal(owned.controller->share(), owned, refusal);
   return refusal;
 }
 
@@ -415,8 +415,8 @@
   const Micros now = needs_.loop.now();
   std::vector<share::ShareSaid> out;
   for (const auto& [s, owned] : owned_)
-    out.push_back(
-        {s, owned.holder->rebuilt(), owned.holder->demands(now), owned.holder->machine_states(now)});
+    out.push_back({s, owned.controller->rebuilt(), owned.controller->demands(now),
+                   owned.controller->machine_states(now)});
   return out;
 }
 
--- a/src/app/owned_shares.h
+++ b/src/app/owned_shares.h
@@ -1,5 +1,5 @@
 // The shares that this node holds, and the leadership: our lease at the state service, taking keys, handing
-// back, and a holder for each share, fed from the records.
+// back, and a owner for each share, fed from the records.
 #pragma once
 #include <functional>
 #include <map>
@@ -11,9 +11,9 @@
 #include "app/operator_settings.h"
 #include "app/records.h"
 #include "net/loop.h"
-#include "share/holder.h"
 #include "share/ownership.h"
 #include "share/peer_frame.h"
+#include "share/share_controller.h"
 #include "store/client.h"
 
 namespace aspenwick::app {
@@ -28,10 +28,10 @@
     std::function<void()> poke;
   };
   struct OwnedShare {
-    std::unique_ptr<share::Holder> holder;  // never empty
-    std::uint64_t made = 0;                 // tells this holder from any other of the share, before and after
-    std::uint64_t epoch = 0;                // of the share's key as it is now
-    std::uint64_t key_version = 0;          // the same; guards what the holder commits
+    std::unique_ptr<share::ShareController> controller;  // never empty
+    std::uint64_t made = 0;         // tells this owner from any other of the share, before and after
+    std::uint64_t epoch = 0;        // of the share's key as it is now
+    std::uint64_t key_version = 0;  // the same; guards what the owner commits
     std::uint64_t taken_version =
         0;                      // of the key when the share was taken: what is older was there before us
     std::uint64_t raising = 0;  // the epoch that we are changing to, perhaps executed; 0: none
@@ -58,7 +58,7 @@
   void keys_read() { own_.keys_read(needs_.loop.now()); }
   /// Job records are known as of a later moment than before.
   void records_read() { own_.records_read(records().read_as_of()); }
-  /// Makes, ends and feeds holders as the keys and records now say.
+  /// Makes, ends and feeds owners as the keys and records now say.
   void sync();
   void job_seen(const std::string& id, const job::JobRecord& record);
 
@@ -84,7 +84,7 @@
   std::vector<share::ShareSaid> shares_to_tell() const;
   share::Ownership& ownership() { return own_; }
   const share::Ownership& ownership() const { return own_; }
-  /// The highest epoch that anything known to us goes by. What a machine's former holders used was in its
+  /// The highest epoch that anything known to us goes by. What a machine's former owners used was in its
   /// record before its share's key was removed, and only who has seen the key removed takes the share: so a
   /// successor's epoch, drawn above this, is above every token that its machines have seen.
   std::uint64_t highest_epoch() const;
@@ -93,7 +93,7 @@
 
  private:
   void read(const wire::Row& row);
-  void end_if_former(const share::HolderKey& key);
+  void end_if_former(const share::OwnerKey& key);
   void own_lease();
   void renew();
   void take_key(const std::string& key, const std::string& counter, std::function<void(int)> done);
@@ -105,8 +105,8 @@
   void keep_records_fresh();
   void say_refusal(int share, OwnedShare& owned, place::StartRefusal now_refused);
   void say_whether_answered(int share, OwnedShare& owned) const;
-  std::string why_not_held(const share::HolderKey* key) const;
-  void make_holder(int share, const share::HolderKey& key);
+  std::string why_not_held(const share::OwnerKey* key) const;
+  void make_controller(int share, const share::OwnerKey& key);
   void load_done(int share, std::uint64_t made);
   const Records& records() const { return needs_.records; }
 
--- a/src/app/peer_service.cpp
+++ b/src/app/peer_service.cpp
@@ -4,7 +4,7 @@
 
 namespace aspenwick::app {
 
-using share::HolderKey;
+using share::OwnerKey;
 
 namespace {
 constexpr Micros kToldFor = 2 * kSecond;
@@ -33,9 +33,9 @@
   share::Gossip brief = g;
   brief.brief = true;
   for (const auto& [s, owned] : needs_.owned_shares.all())
-    brief.shares.push_back({s, owned.holder->rebuilt(), {}, {}});
+    brief.shares.push_back({s, owned.controller->rebuilt(), {}, {}});
   const std::string in_brief = share::encode(brief);
-  const HolderKey* leader = needs_.owned_shares.ownership().leader();
+  const OwnerKey* leader = needs_.owned_shares.ownership().leader();
   std::vector<std::string> whole;
   for (const auto& peer : platform_.siblings) {
     if (heartbeats_.reads(peer.name) && leader && leader->node != peer.name) {
@@ -68,7 +68,7 @@
 }
 
 void PeerService::keys_seen() {
-  const HolderKey* leader = needs_.owned_shares.ownership().leader();
+  const OwnerKey* leader = needs_.owned_shares.ownership().leader();
   const std::uint64_t epoch = leader ? leader->epoch : 0;
   if (epoch == leader_epoch_) return;
   leader_epoch_ = epoch;
@@ -94,7 +94,7 @@
   const auto* record = needs_.records.job(job);
   const bool keys_known = revision != 0 && needs_.store.watched() >= revision;
   if (keys_known && record && record->spec) {
-    const HolderKey* key = own.holder(own.share_of_team(record->spec->team));
+    const OwnerKey* key = own.owner(own.share_of_team(record->spec->team));
     if (!key || key->node == platform_.name) return {};
     return {key->node};
   }
@@ -116,14 +116,14 @@
   if (now - led_since_ > kToldWithin) return true;
   const auto& own = needs_.owned_shares.ownership();
   for (int s = 0; s < own.shares(); ++s) {
-    if (!own.holder(s) || needs_.owned_shares.find(s)) continue;
+    if (!own.owner(s) || needs_.owned_shares.find(s)) continue;
     auto told = said_.find(s);
     if (told == said_.end() || now - told->second.at > kToldFor) return false;
   }
   return true;
 }
 
-std::string PeerService::told_holder(int share) const {
+std::string PeerService::told_owner(int share) const {
   auto it = holds_.find(share);
   return it == holds_.end() || needs_.loop.now() - it->second.second > kHoldsFor ? "" : it->second.first;
 }
@@ -139,10 +139,10 @@
 void PeerService::give(const fleet::Move& move) {
   if (auto* owned = needs_.owned_shares.find(move.from)) {
     if (move.drain)
-      owned->holder->drain(move.machine, move.to, move.rank, needs_.loop.now());
+      owned->controller->drain(move.machine, move.to, move.rank, needs_.loop.now());
     else
       needs_.move_machine(move.machine, move.to);
-  } else if (const HolderKey* key = needs_.owned_shares.ownership().holder(move.from)) {
+  } else if (const OwnerKey* key = needs_.owned_shares.ownership().owner(move.from)) {
     needs_.peers.send(key->node, share::ReleaseAsk{move.machine, move.to, move.drain, move.rank});
   }
 }
@@ -185,7 +185,7 @@
   if (g.brief) return;
   // Share by share: a node with thousands of machines tells them in several frames.
   std::erase_if(said_, [&](const auto& s) {
-    const HolderKey* key = own.holder(s.first);
+    const OwnerKey* key = own.owner(s.first);
     return s.second.node == g.node && key && key->node != g.node;
   });
   for (const auto& s : g.shares) said_[s.share] = {g.node, now, s};
@@ -196,7 +196,7 @@
   auto* owned = m ? needs_.owned_shares.find(m->share) : nullptr;
   if (!owned || a.to_share >= needs_.owned_shares.ownership().shares()) return;
   if (a.drain)
-    owned->holder->drain(a.machine, a.to_share, a.rank, needs_.loop.now());
+    owned->controller->drain(a.machine, a.to_share, a.rank, needs_.loop.now());
   else
     needs_.move_machine(a.machine, a.to_share);
 }
@@ -205,7 +205,7 @@
   share::StatusTell t;
   t.request = q.request;
   for (const auto& [s, owned] : needs_.owned_shares.all())
-    if (auto tally = owned.holder->tally(q.job))
+    if (auto tally = owned.controller->tally(q.job))
       t.known = true, t.done = tally->first, t.running = tally->second;
   reply(t);
 }
--- a/src/app/peer_service.h
+++ b/src/app/peer_service.h
@@ -57,7 +57,7 @@
   /// that knows only its own shares would rent what others have to spare.
   bool heard_all() const;
   /// Who says lately that it holds a share; empty: nobody. Where our own view of the keys may be old.
-  std::string told_holder(int share) const;
+  std::string told_owner(int share) const;
   /// As the leader's plan wants it: by us, or by whoever holds the share.
   void give(const fleet::Move& move);
 
--- a/src/app/result_writer.cpp
+++ b/src/app/result_writer.cpp
@@ -20,17 +20,17 @@
 constexpr Micros kMoveUnknown = kSecond;
 
 std::string progress_key(int share, const std::string& job, std::uint32_t row) {
-  return kProgress + std::to_string(share) + "/" + job + "/" + share::Holder::row_name(row);
+  return kProgress + std::to_string(share) + "/" + job + "/" + share::ShareController::row_name(row);
 }
 
-std::string holder_key(int share) { return kHolder + std::to_string(share); }
+std::string owner_key(int share) { return kOwner + std::to_string(share); }
 }  // namespace
 
 void ResultWriter::tick() {
   finish_jobs();
   cancel_doomed();
   const bool all_new = needs_.records.all_read_units();
-  for (auto& [s, owned] : needs_.owned_shares.all()) owned.holder->set_all_read_units(all_new);
+  for (auto& [s, owned] : needs_.owned_shares.all()) owned.controller->set_all_read_units(all_new);
   write_done();
 }
 
@@ -47,10 +47,10 @@
   for (auto& [s, owned] : needs_.owned_shares.all()) {
     if (!needs_.owned_shares.owns(owned)) continue;
     const auto most = static_cast<std::size_t>(std::max(0.0, progress_level_));
-    const auto writes = owned.holder->done_writes(std::min({needs_.store.txn_ops(), kDoneAtOnce, most}));
+    const auto writes = owned.controller->done_writes(std::min({needs_.store.txn_ops(), kDoneAtOnce, most}));
     progress_level_ -= static_cast<double>(writes.size());
     if (writes.empty()) continue;
-    std::vector<wire::Guard> guards{{holder_key(s), owned.key_version}};
+    std::vector<wire::Guard> guards{{owner_key(s), owned.key_version}};
     std::vector<wire::Write> puts;
     for (const auto& w : writes) {
       guards.push_back({progress_key(s, w.job, w.row), w.version});
@@ -62,7 +62,7 @@
                             OwnedShares::OwnedShare* h = needs_.owned_shares.find(s, made);
                             if (!h) return;
                             if (code == 200)
-                              h->holder->done_written(w, true, revision);
+                              h->controller->done_written(w, true, revision);
                             else
                               wrote_done(s, made, w);
                           }
@@ -71,23 +71,23 @@
 }
 
 /// Perhaps executed: the key's version must be read before the next try.
-void ResultWriter::wrote_done(int s, std::uint64_t made, const share::Holder::DoneWrite& w) {
+void ResultWriter::wrote_done(int s, std::uint64_t made, const share::ShareController::DoneWrite& w) {
   needs_.store.get(progress_key(s, w.job, w.row), store::Urgency::read,
                    [this, s, made, w](int code, const wire::Row& row) {
                      OwnedShares::OwnedShare* h = needs_.owned_shares.find(s, made);
                      if (!h) return;
                      const std::uint64_t version = code == 200 ? row.version : code == 404 ? 0 : w.version;
-                     h->holder->done_written(w, false, version);
+                     h->controller->done_written(w, false, version);
                    });
 }
 
 void ResultWriter::finish_jobs() {
   for (auto& [s, owned] : needs_.owned_shares.all()) {
     if (!needs_.owned_shares.owns(owned)) continue;
-    for (const auto& id : owned.holder->complete_jobs()) {
+    for (const auto& id : owned.controller->complete_jobs()) {
       const auto* known = needs_.records.job(id);
       if (!known || known->final()) continue;
-      owned.holder->set_committing(id, true);
+      owned.controller->set_committing(id, true);
       finished(s, owned.made, id);
     }
   }
@@ -100,14 +100,14 @@
   record.finished = needs_.loop.time_of_day();
   std::vector<wire::Write> writes{{kJob + id, job::record_to_json(record), {}, false}};
   std::vector<std::string> rest;
-  for (const auto& name : owned.holder->done_keys(id)) {
+  for (const auto& name : owned.controller->done_keys(id)) {
     const std::string key = kProgress + std::to_string(s) + "/" + name;
     if (writes.size() < needs_.store.txn_ops())
       writes.push_back({key, nullptr, {}, true});
     else
       rest.push_back(key);
   }
-  needs_.store.commit({{holder_key(s), owned.key_version}, {kJob + id, record.version}}, std::move(writes),
+  needs_.store.commit({{owner_key(s), owned.key_version}, {kJob + id, record.version}}, std::move(writes),
                       store::Urgency::accept,
                       [this, s, made, id, record, rest](int code, std::uint64_t revision) mutable {
                         if (code == 200) {
@@ -122,7 +122,7 @@
                         }
                         needs_.loop.later(kFinishAgain, [this, s, made, id] {
                           if (auto* h = needs_.owned_shares.find(s, made))
-                            h->holder->set_committing(id, false);
+                            h->controller->set_committing(id, false);
                         });
                       });
 }
@@ -136,7 +136,7 @@
 }
 
 bool ResultWriter::cancel_doomed(int s, const OwnedShares::OwnedShare& owned) {
-  std::vector<wire::Guard> guards{{holder_key(s), owned.key_version}};
+  std::vector<wire::Guard> guards{{owner_key(s), owned.key_version}};
   std::vector<wire::Write> writes;
   std::vector<std::string> ids;
   for (const auto& id : needs_.records.graph().to_cancel()) {
@@ -184,7 +184,7 @@
   const double pace = platform_.state_write_rps * kMovePart;
   move_level_ = std::min(std::max(2.0, 2 * pace), move_level_ + to_seconds(t - last_move_) * pace);
   last_move_ = t;
-  if (move_level_ < 1 || !owned->holder->release(machine, t)) return;
+  if (move_level_ < 1 || !owned->controller->release(machine, t)) return;
   move_level_ -= 1;
   moving_.insert(machine);
   share::MachineRecord m = *known;
@@ -209,7 +209,7 @@
   }
   if (owned->key_version != key_version) return stay(id, from);
   const auto urgency = m.share >= 0 ? store::Urgency::user : store::Urgency::background;
-  std::vector<wire::Guard> guards{{kMachine + id, m.version}, {holder_key(from), key_version}};
+  std::vector<wire::Guard> guards{{kMachine + id, m.version}, {owner_key(from), key_version}};
   std::vector<wire::Write> writes{{kMachine + id, share::machine_to_json(m), {}, false}};
   needs_.store.commit(
       std::move(guards), std::move(writes), urgency,
@@ -230,7 +230,7 @@
 /// Surely not moved: it is used again.
 void ResultWriter::stay(const std::string& machine, int from) {
   moving_.erase(machine);
-  if (auto* owned = needs_.owned_shares.find(from)) owned->holder->keep(machine);
+  if (auto* owned = needs_.owned_shares.find(from)) owned->controller->keep(machine);
 }
 
 }  // namespace aspenwick::app
--- a/src/app/result_writer.h
+++ b/src/app/result_writer.h
@@ -1,4 +1,4 @@
-// What holders have decided, into the state service: done-sets at a pace, finished jobs at once, what a
+// What owners have decided, into the state service: done-sets at a pace, finished jobs at once, what a
 // cancellation above has ended, and machines that leave a share.
 #pragma once
 #include <cstddef>
@@ -25,7 +25,7 @@
   ResultWriter(const wire::PlatformSettings& platform, Needs needs)
       : platform_(platform), needs_(std::move(needs)) {}
 
-  /// After each pass of the holders.
+  /// After each pass of the owners.
   void tick();
   /// An empty machine of a share that we hold leaves for share `to`; -1: it is to be deleted. At a pace, so
   /// it may have to be said again.
@@ -40,7 +40,7 @@
   void commit_move(share::MachineRecord to_be, int from, std::uint64_t made, std::uint64_t key_version,
                    bool unsure);
   void stay(const std::string& machine, int from);
-  void wrote_done(int share, std::uint64_t made, const share::Holder::DoneWrite& write);
+  void wrote_done(int share, std::uint64_t made, const share::ShareController::DoneWrite& write);
 
   const wire::PlatformSettings& platform_;
   Needs needs_;
--- a/src/app/worker_api.cpp
+++ b/src/app/worker_api.cpp
@@ -9,7 +9,7 @@
 namespace aspenwick::app {
 
 using net::ExchangePtr;
-using share::HolderKey;
+using share::OwnerKey;
 using wire::WorkerReport;
 
 namespace {
@@ -33,33 +33,33 @@
   const auto* machine = needs_.records.machine(r.machine);
   if (!machine) {
     if (needs_.owned_shares.leading() && may_adopt) return adopt(x, r);
-    const HolderKey* leader = own.leader();
+    const OwnerKey* leader = own.leader();
     if (leader && leader->node != platform_.name) return x->answer(421, wire::redirect_body(leader->node));
     return x->answer(503, wire::error_body("no leader"));
   }
   const int share = machine->share;
-  const HolderKey* key = own.holder(share);
-  if (share < 0 || !key) return refuse(x, share, "", "no holder");
+  const OwnerKey* key = own.owner(share);
+  if (share < 0 || !key) return refuse(x, share, "", "no owner");
   if (!own.ours(key)) return refuse(x, share, key->node, "not yet");
   OwnedShares::OwnedShare* owned = needs_.owned_shares.find(share);
   if (!owned || owned->handing_back) return x->answer(503, wire::error_body("not yet"));
   const Micros now = needs_.loop.now();
   if (!own.may_renew_workers(share, now)) return refuse(x, share, "", "no right to act");
-  const auto told = owned->holder->on_report(r, now, needs_.owned_shares.refusal(*owned));
+  const auto told = owned->controller->on_report(r, now, needs_.owned_shares.refusal(*owned));
   if (!told) return x->answer(503, wire::error_body("no right to act"));
   x->answer(200, wire::report_answer(told->token, told->orders));
   needs_.poke();
 }
 
-/// Names the holder if that is surely known. The keys tell it while our view of them can't be old; else only
+/// Names the owner if that is surely known. The keys tell it while our view of them can't be old; else only
 /// a peer's own word does. Two nodes that the state service refuses sent workers to each other, by keys long
 /// gone, until their leases ran out, while a third held their share.
 void WorkerApi::refuse(const ExchangePtr& x, int share, const std::string& by_keys, const char* why) const {
   const auto& own = needs_.owned_shares.ownership();
-  std::string holder = own.keys_current(needs_.loop.now()) ? by_keys : needs_.told_holder(share);
-  if (holder == platform_.name) holder.clear();
-  if (holder.empty()) return x->answer(503, wire::error_body(why));
-  x->answer(421, wire::redirect_body(holder));
+  std::string owner = own.keys_current(needs_.loop.now()) ? by_keys : needs_.told_owner(share);
+  if (owner == platform_.name) owner.clear();
+  if (owner.empty()) return x->answer(503, wire::error_body(why));
+  x->answer(421, wire::redirect_body(owner));
 }
 
 void WorkerApi::adopt(const ExchangePtr& x, const WorkerReport& r) {
@@ -95,13 +95,13 @@
   for (auto& [share, owned] : needs_.owned_shares.all()) {
     if (!needs_.owned_shares.owns(owned)) continue;
     if (pushing_ >= most_pushes_) return;  // each takes a socket; reports carry orders too
-    for (const auto& p :
-         owned.holder->pushes(needs_.loop.now(), most_pushes_ - pushing_, needs_.owned_shares.refusal(owned)))
+    for (const auto& p : owned.controller->pushes(needs_.loop.now(), most_pushes_ - pushing_,
+                                                  needs_.owned_shares.refusal(owned)))
       push(share, owned.made, p);
   }
 }
 
-void WorkerApi::push(int share, std::uint64_t made, const share::Holder::Push& p) {
+void WorkerApi::push(int share, std::uint64_t made, const share::ShareController::Push& p) {
   wire::Endpoint to;
   try {
     to = wire::parse_endpoint(p.address);
@@ -129,7 +129,7 @@
     } catch (const std::exception& e) {
       spdlog::error("worker {}: {}", machine, e.what());
     }
-  owned->holder->pushed(machine, report ? code : 0, report, needs_.loop.now());
+  owned->controller->pushed(machine, report ? code : 0, report, needs_.loop.now());
   needs_.poke();
 }
 
--- a/src/fleet/provisioner.cpp
+++ b/src/fleet/provisioner.cpp
@@ -19,7 +19,7 @@
 constexpr Micros kDrainTime = 15 * kSecond;
 constexpr std::int64_t kMostRooms = 1'000'000;
 constexpr double kUnknownRun = 30;          // seconds
-constexpr Micros kRunEmpty = 40 * kSecond;  // as long as the holder keeps it from taking more
+constexpr Micros kRunEmpty = 40 * kSecond;  // as long as the owner keeps it from taking more
 constexpr double kRicher = 4;               // so many times the work in hand of another share
 constexpr std::int64_t kFewTasks = 2;
 constexpr std::size_t kLevelPart = 100;    // of all machines, at once
@@ -127,8 +127,8 @@
 
 bool Provisioner::usable(const Want& w, const Room& r) const {
   if (!suits(w, r.type, r.zone, r.spot)) return false;
-  if (w.demand.plain_only && types_[r.type].total.gpus > 0) return false;  // as its holder does
-  // As the holder does: only work that can make way shares a machine with GPU work.
+  if (w.demand.plain_only && types_[r.type].total.gpus > 0) return false;  // as its owner does
+  // As the owner does: only work that can make way shares a machine with GPU work.
   return w.demand.need.gpus > 0 || r.type >= gpu_wanted_.size() || !gpu_wanted_[r.type] ||
          w.demand.any_room ||
          (w.demand.rank == wire::Rank::low && w.demand.shape == wire::Shape::array && !r.booting);
--- a/src/place/placement.h
+++ b/src/place/placement.h
@@ -1,5 +1,5 @@
 // Which task goes where, and which make way: the order of jobs, the choice of machines by the learner, gangs,
-// preemption. Works on the view of one share; what it decides is sent by the holder.
+// preemption. Works on the view of one share; what it decides is sent by the owner.
 #pragma once
 #include <functional>
 #include <optional>
--- a/src/share/ownership.cpp
+++ b/src/share/ownership.cpp
@@ -13,20 +13,20 @@
 constexpr Micros kBoundMargin = 3 * kSecond;
 }  // namespace
 
-wire::Json holder_to_json(const HolderKey& h) {
+wire::Json owner_to_json(const OwnerKey& h) {
   return {{"node", h.node}, {"lease", h.lease}, {"epoch", h.epoch}};
 }
 
-HolderKey holder_from_json(const wire::Json& j, std::uint64_t version) {
+OwnerKey owner_from_json(const wire::Json& j, std::uint64_t version) {
   return {j.at("node").get<std::string>(), j.at("lease").get<std::uint64_t>(),
           j.at("epoch").get<std::uint64_t>(), version};
 }
 
 void check_time_to_cancel(const wire::PlatformSettings& platform) {
-  // A holder that nobody reaches renews its workers until its own lease is over, and they go on for one more.
-  if (platform.cancel >= kHolderLease + platform.worker_lease + kBoundMargin) return;
+  // A owner that nobody reaches renews its workers until its own lease is over, and they go on for one more.
+  if (platform.cancel >= kOwnerLease + platform.worker_lease + kBoundMargin) return;
   throw wire::Malformed("params.workers.cancel_s: must be at least lease_s and " +
-                        std::to_string((kHolderLease + kBoundMargin) / kSecond) + " s");
+                        std::to_string((kOwnerLease + kBoundMargin) / kSecond) + " s");
 }
 
 Ownership::Ownership(const wire::PlatformSettings& platform)
@@ -37,11 +37,11 @@
 void Ownership::lease_granted(std::uint64_t id, Micros sent) {
   if (started_ == 0) started_ = sent;
   lease_ = id;
-  valid_until_ = held_until_ = sent + kHolderLease - kDriftMargin;
+  valid_until_ = held_until_ = sent + kOwnerLease - kDriftMargin;
   served_ = sent;
 }
 void Ownership::lease_renewed(Micros sent) {
-  valid_until_ = held_until_ = std::max(valid_until_, sent + kHolderLease - kDriftMargin);
+  valid_until_ = held_until_ = std::max(valid_until_, sent + kOwnerLease - kDriftMargin);
   served_ = std::max(served_, sent);
 }
 void Ownership::lease_lost() {
@@ -56,22 +56,22 @@
   return place::StartRefusal::none;
 }
 
-void Ownership::holder_set(int share, const HolderKey& key, Micros now) {
-  if (const HolderKey* known = holder(share); known && (known->node != key.node || known->lease != key.lease))
+void Ownership::owner_set(int share, const OwnerKey& key, Micros now) {
+  if (const OwnerKey* known = owner(share); known && (known->node != key.node || known->lease != key.lease))
     add_former(share, {known->node, known->lease, {}}, now);
   for (auto& former : former_owners_[share])
     if (!former.renews_until) former.renews_until = renewal_bound(now);
-  holders_[share] = key;
+  owners_[share] = key;
   free_since_.erase(share);
 }
-void Ownership::holder_removed(int share, Micros now) {
-  if (const HolderKey* known = holder(share)) add_former(share, {known->node, known->lease, {}}, now);
-  holders_.erase(share);
+void Ownership::owner_removed(int share, Micros now) {
+  if (const OwnerKey* known = owner(share)) add_former(share, {known->node, known->lease, {}}, now);
+  owners_.erase(share);
   free_since_[share] = now;
 }
-const HolderKey* Ownership::holder(int share) const {
-  auto it = holders_.find(share);
-  return it == holders_.end() ? nullptr : &it->second;
+const OwnerKey* Ownership::owner(int share) const {
+  auto it = owners_.find(share);
+  return it == owners_.end() ? nullptr : &it->second;
 }
 
 void Ownership::peer_reported(const std::string& node, const PeerState& said) {
@@ -86,7 +86,7 @@
 
 Micros Ownership::unconfirmed_bound() const {
   // Store lease + this + worker lease stays under the time that a cancellation has.
-  return std::clamp<Micros>(platform_.cancel - kHolderLease - platform_.worker_lease - kBoundMargin, 0,
+  return std::clamp<Micros>(platform_.cancel - kOwnerLease - platform_.worker_lease - kBoundMargin, 0,
                             kMaxUnconfirmed);
 }
 
@@ -106,18 +106,18 @@
 /// Whoever renews workers without its peers' word read all records so lately that a cancellation it lacks
 /// still has its time: this bound and a worker's lease fit into it. A lease says nothing of what was read.
 bool Ownership::records_known_for_renewal(Micros now) const {
-  return now - read_ < kHolderLease + kBoundMargin + unconfirmed_bound();
+  return now - read_ < kOwnerLease + kBoundMargin + unconfirmed_bound();
 }
 
-/// What keeps a peer that lacks the state service too from confirming a holder; null: nothing. Once it was
-/// cut off from the service alone, a holder must not take a common outage for its right to go on: others may
+/// What keeps a peer that lacks the state service too from confirming a owner; null: nothing. Once it was
+/// cut off from the service alone, a owner must not take a common outage for its right to go on: others may
 /// have confirmed cancellations before it, or taken the share and lost their leases since.
 const char* Ownership::objection(int share, const PeerState& peer) const {
-  const HolderKey* key = holder(share);
+  const OwnerKey* key = owner(share);
   const auto s = static_cast<std::size_t>(share);
   if (!ours(key)) return "isn't asked, the key is not ours";
   if (s >= peer.epochs.size()) return "is of a version that doesn't say what it knows";
-  if (peer.epochs[s] > key->epoch) return "knows of a later holder";
+  if (peer.epochs[s] > key->epoch) return "knows of a later owner";
   if (!peer.knows_all) return "may have told users of cancellations that we don't know";
   if (peer.since > std::min(served_, read_)) return "began after we were last served";
   return nullptr;
@@ -155,12 +155,12 @@
 
 void Ownership::reading_keys() {
   versions_before_.clear();
-  for (const auto& [share, key] : holders_) versions_before_[share] = key.version;
+  for (const auto& [share, key] : owners_) versions_before_[share] = key.version;
 }
 
 void Ownership::keys_read(Micros now) {
   for (int s = 0; s < shares(); ++s) {
-    const HolderKey* key = holder(s);
+    const OwnerKey* key = owner(s);
     const auto before = versions_before_.find(s);
     if (key && before != versions_before_.end() && before->second == key->version) continue;
     FormerOwner unknown;
@@ -208,14 +208,14 @@
   std::vector<int> out;
   if (!lease_valid(now)) return out;
   for (int s = 0; s < shares(); ++s) {
-    if (holders_.contains(s)) continue;
+    if (owners_.contains(s)) continue;
     auto it = free_since_.find(s);
     const Micros free_for = it == free_since_.end() ? now : now - it->second;
     // The home takes its share at once; the others wait a little, in turn.
     const int turn = (home_ - s + shares()) % shares();
     // Right after our own start a home that we have not heard of is mostly starting too.
     // One that lives but that the state service does not answer can't take it: waiting for it left four
-    // shares without a holder for 8 s where one node was left that could.
+    // shares without a owner for 8 s where one node was left that could.
     const auto home = peers_.find(node_of(s));
     const bool home_able = home != peers_.end() && home->second.state_ok && peer_alive(node_of(s), now);
     const bool home_first = home_able || now - started_ < kHomeFirst;
@@ -239,7 +239,7 @@
     else
       settled_since_.try_emplace(s.name, now);
   }
-  for (const auto& [share, key] : holders_) {
+  for (const auto& [share, key] : owners_) {
     if (share == home_ || !ours(&key)) continue;
     auto it = settled_since_.find(node_of(share));
     if (it != settled_since_.end() && now - it->second >= kSettled) return share;
--- a/src/share/ownership.h
+++ b/src/share/ownership.h
@@ -1,4 +1,4 @@
-// Who holds what: our lease with the state service, the shares' holder keys, the leader key, and what the
+// Who holds what: our lease with the state service, the shares' owner keys, the leader key, and what the
 // peers say. Socket-free: fed events and the time.
 #pragma once
 #include <cstdint>
@@ -13,26 +13,26 @@
 
 namespace aspenwick::share {
 
-inline constexpr Micros kHolderLease = 5 * kSecond;
+inline constexpr Micros kOwnerLease = 5 * kSecond;
 inline constexpr Micros kRenewEvery = 1500 * kMillisecond;
 /// An owner acts only on job records that it knows as of a moment no longer ago. As long as its lease: a
 /// state service too slow for the one is too slow for the other.
-inline constexpr Micros kRecordsBound = kHolderLease;
+inline constexpr Micros kRecordsBound = kOwnerLease;
 
-/// The value of holder/<n> and leader.
-struct HolderKey {
+/// The value of owner/<n> and leader.
+struct OwnerKey {
   std::string node;
   std::uint64_t lease = 0, epoch = 0, version = 0;
 };
-wire::Json holder_to_json(const HolderKey& h);
-HolderKey holder_from_json(const wire::Json& j, std::uint64_t version);
+wire::Json owner_to_json(const OwnerKey& h);
+OwnerKey owner_from_json(const wire::Json& j, std::uint64_t version);
 
 /// What a peer last said of itself.
 struct PeerState {
   bool state_ok = false, synced = false;
   std::uint64_t lease = 0;
   Micros at = 0;  // by our clock: not after it was said
-  // What a holder needs that wants to go on beyond its lease; the version before tells nothing of it.
+  // What a owner needs that wants to go on beyond its lease; the version before tells nothing of it.
   bool knows_all = false;  // we know all cancellations that it may have told a user of
   Micros since = 0;        // its process was there at this time, by our clock, and has been ever since
   std::vector<std::uint64_t> epochs;  // by share: the highest that it knows to be taken
@@ -61,17 +61,17 @@
   void records_read(Micros sent) { read_ = std::max(read_, sent); }
 
   // ---- what the state service shows
-  void holder_set(int share, const HolderKey& key, Micros now);
-  void holder_removed(int share, Micros now);
+  void owner_set(int share, const OwnerKey& key, Micros now);
+  void owner_removed(int share, Micros now);
   /// All keys are about to be read anew, at the start or after changes that no watch has told; then they
   /// were. Who owned a share meanwhile is not known.
   void reading_keys();
   void keys_read(Micros now);
-  void leader_set(const HolderKey& key) { leader_ = key; }
+  void leader_set(const OwnerKey& key) { leader_ = key; }
   void leader_removed(Micros now) { leader_.reset(), leader_free_since_ = now; }
-  const HolderKey* holder(int share) const;
-  const HolderKey* leader() const { return leader_ ? &*leader_ : nullptr; }
-  bool ours(const HolderKey* key) const { return key && lease_ && key->lease == *lease_ && key->node == me_; }
+  const OwnerKey* owner(int share) const;
+  const OwnerKey* leader() const { return leader_ ? &*leader_ : nullptr; }
+  bool ours(const OwnerKey* key) const { return key && lease_ && key->lease == *lease_ && key->node == me_; }
 
   // ---- peers
   /// `said.at`: when it was said at the earliest, by our clock. An older word never replaces a newer one.
@@ -80,7 +80,7 @@
 
   /// May reports of a share's workers be answered (which renews their leases)? Beyond our own lease only
   /// while all peers confirm it: they lack the state service too, were there when it last answered us, know
-  /// of no holder after us and of no cancellation that we don't know. Unconfirmed, for no longer than
+  /// of no owner after us and of no cancellation that we don't know. Unconfirmed, for no longer than
   /// unconfirmed_bound().
   bool may_renew_workers(int share, Micros now) const;
   /// Why not, for operators; empty: they may.
@@ -133,11 +133,11 @@
   Micros valid_until_ = 0, started_ = 0;
   Micros held_until_ = 0;         // the same, after the lease is gone too
   Micros served_ = 0, read_ = 0;  // the state service knew our lease then; all job records were read then
-  std::map<int, HolderKey> holders_;
+  std::map<int, OwnerKey> owners_;
   std::map<int, Micros> free_since_;
   std::map<int, std::vector<FormerOwner>> former_owners_;  // by share, those that may still renew workers
   std::map<int, std::uint64_t> versions_before_;           // of the keys, before they were read anew
-  std::optional<HolderKey> leader_;
+  std::optional<OwnerKey> leader_;
   Micros leader_free_since_ = 0;
   std::map<std::string, PeerState> peers_;
   std::map<std::string, Micros> settled_since_;
--- a/src/share/holder.cpp
+++ b/src/share/share_controller.cpp
@@ -1,4 +1,4 @@
-#include "share/holder.h"
+#include "share/share_controller.h"
 
 #include <spdlog/spdlog.h>
 
@@ -40,9 +40,10 @@
   return m;
 }
 
-Holder::Holder(const wire::PlatformSettings& platform, const std::vector<wire::MachineType>& types,
-               HolderSettings settings, JobLookup lookup, std::uint64_t epoch, Micros now,
-               Micros renewable_until)
+ShareController::ShareController(const wire::PlatformSettings& platform,
+                                 const std::vector<wire::MachineType>& types,
+                                 ShareControllerSettings settings, JobLookup lookup, std::uint64_t epoch,
+                                 Micros now, Micros renewable_until)
     : platform_(platform),
       types_(types),
       settings_(settings),
@@ -54,16 +55,16 @@
   for (const auto& z : platform.zones) zones_.push_back(view_.zone(z));
 }
 
-Micros Holder::surely_lapsed(Micros answered) const {
+Micros ShareController::surely_lapsed(Micros answered) const {
   return answered + static_cast<Micros>(static_cast<double>(platform_.worker_lease) * (1 + kDrift)) + kMargin;
 }
 
-std::uint64_t Holder::floor(const Machine& m) const {
+std::uint64_t ShareController::floor(const Machine& m) const {
   return std::max(epoch_, m.record.epoch) << place::kEpochShift;
 }
-std::uint64_t Holder::token(const Machine& m) const { return floor(m) + m.bump; }
+std::uint64_t ShareController::token(const Machine& m) const { return floor(m) + m.bump; }
 
-void Holder::raise_epoch(std::uint64_t epoch) {
+void ShareController::raise_epoch(std::uint64_t epoch) {
   if (epoch <= epoch_) return;
   epoch_ = epoch;
   placement_.raise_epoch(epoch);
@@ -72,8 +73,8 @@
 
 // ---------------------------------------------------------------- events
 
-void Holder::job_known(const std::string& id, const JobRecord& record, bool fresh, Micros now,
-                       Micros time_of_day) {
+void ShareController::job_known(const std::string& id, const JobRecord& record, bool fresh, Micros now,
+                                Micros time_of_day) {
   auto it = view_.jobs.find(id);
   if (record.final()) {
     if (it == view_.jobs.end()) return;
@@ -119,7 +120,8 @@
   ++view_.changes;
 }
 
-void Holder::set_course(const std::string& id, const job::Course& course, Micros now, Micros time_of_day) {
+void ShareController::set_course(const std::string& id, const job::Course& course, Micros now,
+                                 Micros time_of_day) {
   auto it = view_.jobs.find(id);
   if (it == view_.jobs.end()) return;
   Job& j = *it->second;
@@ -133,12 +135,12 @@
   if (course.finish_by) j.finish_by = now + (*course.finish_by - time_of_day);
 }
 
-void Holder::loaded(Micros now) {
+void ShareController::loaded(Micros now) {
   loaded_ = true;
   check_rebuilt(now);
 }
 
-void Holder::machine_known(const MachineRecord& record, bool handed_empty, Micros now) {
+void ShareController::machine_known(const MachineRecord& record, bool handed_empty, Micros now) {
   const bool added = !view_.machines.contains(record.id);
   Machine& m = view_.join(record);
   if (!added) return;
@@ -146,7 +148,7 @@
     if (types_[i].name == record.type) m.type = &types_[i], m.type_index = i;
   if (m.type) m.free = m.type->total;
   // A machine recorded before our takeover may hold anything until it reports under our token, or until the
-  // lease that the former holder could last have renewed has lapsed. One that joins later was handed over
+  // lease that the former owner could last have renewed has lapsed. One that joins later was handed over
   // empty.
   m.handed_empty = handed_empty;
   m.lapse_at = surely_lapsed(handed_empty ? now : std::max(now, renewable_until_));
@@ -155,7 +157,7 @@
   m.neuron = placement_.rnn().join(record.id);
 }
 
-void Holder::machine_gone(const std::string& id, Micros now) {
+void ShareController::machine_gone(const std::string& id, Micros now) {
   auto it = view_.machines.find(id);
   if (it == view_.machines.end()) return;
   lapse(it->second, now, Freed::left_share);
@@ -166,7 +168,7 @@
 
 // ---------------------------------------------------------------- planning
 
-void Holder::check_rebuilt(Micros) {
+void ShareController::check_rebuilt(Micros) {
   if (view_.rebuilt || !loaded_) return;
   for (const auto& [id, m] : view_.machines)
     if (!m.accounted && !m.handed_empty) return;
@@ -176,7 +178,7 @@
 }
 
 /// Which machines keep a takeover from being whole, for operators: said once.
-void Holder::say_silent(Micros now) {
+void ShareController::say_silent(Micros now) {
   if (view_.rebuilt || said_silent_ || now - held_since_ < kSilentFor) return;
   said_silent_ = true;
   std::size_t silent = 0;
@@ -189,7 +191,7 @@
                  first->spot ? ", spot" : "");
 }
 
-bool Holder::tick(Micros now, StartRefusal of_owner) {
+bool ShareController::tick(Micros now, StartRefusal of_owner) {
   if (!loaded_) return false;
   say_silent(now);
   for (Machine* at : view_.all) {
@@ -228,7 +230,7 @@
 
 // ---------------------------------------------------------------- giving machines away
 
-bool Holder::release(const std::string& machine, Micros) {
+bool ShareController::release(const std::string& machine, Micros) {
   auto it = view_.machines.find(machine);
   if (it == view_.machines.end()) return false;
   Machine& m = it->second;
@@ -237,7 +239,7 @@
   return true;
 }
 
-void Holder::drain(const std::string& machine, int to, Rank rank, Micros now) {
+void ShareController::drain(const std::string& machine, int to, Rank rank, Micros now) {
   auto it = view_.machines.find(machine);
   if (it == view_.machines.end() || !loaded_ || !it->second.up) return;
   Machine& m = it->second;
@@ -261,7 +263,7 @@
   }
 }
 
-std::vector<std::pair<std::string, int>> Holder::drained() const {
+std::vector<std::pair<std::string, int>> ShareController::drained() const {
   std::vector<std::pair<std::string, int>> out;
   for (const auto& [id, m] : view_.machines)
     if (m.drain_until > 0 && m.drain_to >= -1 && m.tasks.empty() && !m.leaving)
@@ -269,7 +271,7 @@
   return out;
 }
 
-void Holder::keep(const std::string& machine) {
+void ShareController::keep(const std::string& machine) {
   if (auto it = view_.machines.find(machine); it != view_.machines.end())
     it->second.leaving = false, view_.gained();
 }
--- a/src/share/holder.h
+++ b/src/share/share_controller.h
@@ -1,4 +1,4 @@
-// The holder of one share: what runs where on its machines, from worker reports to orders. Socket-free; it is
+// The owner of one share: what runs where on its machines, from worker reports to orders. Socket-free; it is
 // fed events and the time, so that traces can drive it.
 //
 // Invariant: a task is placed only when every machine that could hold it is accounted for: by a report under
@@ -62,7 +62,7 @@
   wire::Rank top_rank = wire::Rank::low;  // of its tasks
 };
 
-struct HolderSettings {
+struct ShareControllerSettings {
   int share = 0;
   place::RnnSettings rnn;
   Micros suspect_for = 60 * kSecond;
@@ -70,15 +70,16 @@
   Micros error_backoff = 2 * kSecond;
 };
 
-class Holder {
+class ShareController {
  public:
   using StartRefusal = place::StartRefusal;
   /// Finds any job's record, or null: what is not ours or over must be told from what is not known yet.
   using JobLookup = std::function<const JobRecord*(const std::string&)>;
 
-  /// `renewable_until`: the last moment the former holder may have renewed a worker's lease.
-  Holder(const wire::PlatformSettings& platform, const std::vector<wire::MachineType>& types,
-         HolderSettings settings, JobLookup lookup, std::uint64_t epoch, Micros now, Micros renewable_until);
+  /// `renewable_until`: the last moment the former owner may have renewed a worker's lease.
+  ShareController(const wire::PlatformSettings& platform, const std::vector<wire::MachineType>& types,
+                  ShareControllerSettings settings, JobLookup lookup, std::uint64_t epoch, Micros now,
+                  Micros renewable_until);
 
   // ---- events
   void job_known(const std::string& id, const JobRecord& record, bool fresh, Micros now, Micros time_of_day);
@@ -204,7 +205,7 @@
 
   const wire::PlatformSettings& platform_;
   const std::vector<wire::MachineType>& types_;
-  HolderSettings settings_;
+  ShareControllerSettings settings_;
   std::uint64_t epoch_;
   Micros renewable_until_;
   JobLookup lookup_;
--- a/src/share/holder_answers.cpp
+++ b/src/share/share_controller_answers.cpp
@@ -1,7 +1,7 @@
-// What a holder tells others: a job's tally, waiting work and machines for the leader, everything for traces.
+// What a owner tells others: a job's tally, waiting work and machines for the leader, everything for traces.
 #include <algorithm>
 
-#include "share/holder.h"
+#include "share/share_controller.h"
 
 namespace aspenwick::share {
 
@@ -13,7 +13,7 @@
 constexpr std::size_t kMostPassedOver = 8;  // more, of those that wait for too long
 }  // namespace
 
-std::optional<std::pair<std::uint32_t, std::uint32_t>> Holder::tally(const std::string& id) const {
+std::optional<std::pair<std::uint32_t, std::uint32_t>> ShareController::tally(const std::string& id) const {
   auto it = view_.jobs.find(id);
   if (it == view_.jobs.end()) return {};
   std::uint32_t running = 0;
@@ -24,14 +24,14 @@
   return std::pair{it->second->done.count(), running};
 }
 
-std::size_t Holder::waiting() const {
+std::size_t ShareController::waiting() const {
   std::size_t n = 0;
   for (const auto& [id, j] : view_.jobs)
     if (!j->cancelled && !j->finished) n += j->waiting();
   return n;
 }
 
-std::vector<Demand> Holder::demands(Micros now) const {
+std::vector<Demand> ShareController::demands(Micros now) const {
   std::vector<Demand> out;
   for (Job* j : placement_.ordered_jobs(now)) {
     if (out.size() >= kMostDemands && !(j->passed_over && out.size() < kMostDemands + kMostPassedOver))
@@ -104,7 +104,7 @@
   return out;
 }
 
-std::vector<MachineState> Holder::machine_states(Micros now) const {
+std::vector<MachineState> ShareController::machine_states(Micros now) const {
   std::vector<MachineState> out;
   out.reserve(view_.all.size());
   for (const Machine* at : view_.all) {
@@ -132,7 +132,7 @@
   return out;
 }
 
-std::vector<std::string> Holder::describe() const {
+std::vector<std::string> ShareController::describe() const {
   std::vector<std::string> out;
   static constexpr const char* kPhases[] = {"assigned", "sent", "present", "running"};
   for (const auto& [id, m] : view_.machines)
--- a/src/share/holder_orders.cpp
+++ b/src/share/share_controller_orders.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "share/holder.h"
+#include "share/share_controller.h"
 
 namespace aspenwick::share {
 
@@ -20,8 +20,8 @@
 
 /// The last look before an order to start leaves. What would break an invariant is refused and not tried
 /// again.
-bool Holder::start_allowed(Machine& m, std::map<TaskKey, Placed>::iterator at, StartRefusal of_owner,
-                           Micros now) {
+bool ShareController::start_allowed(Machine& m, std::map<TaskKey, Placed>::iterator at, StartRefusal of_owner,
+                                    Micros now) {
   using place::Invariant;
   const StartRefusal why = place::start_refusal(view_, m, at->second, of_owner);
   if (why == StartRefusal::none) return true;
@@ -37,8 +37,8 @@
   return false;
 }
 
-std::vector<Order> Holder::take_orders(Machine& m, bool by_push, std::uint64_t answer_seq,
-                                       StartRefusal of_owner, Micros now) {
+std::vector<Order> ShareController::take_orders(Machine& m, bool by_push, std::uint64_t answer_seq,
+                                                StartRefusal of_owner, Micros now) {
   std::vector<Order> out;
   bool launches = false;
   for (auto it = m.tasks.begin(); it != m.tasks.end() && out.size() < kMaxOrders;) {
@@ -81,7 +81,8 @@
   return out;
 }
 
-std::vector<Holder::Push> Holder::pushes(Micros now, std::size_t most, StartRefusal of_owner) {
+std::vector<ShareController::Push> ShareController::pushes(Micros now, std::size_t most,
+                                                           StartRefusal of_owner) {
   std::vector<Push> out;
   if (!loaded_) return out;
   for (auto it = view_.to_order.begin(); it != view_.to_order.end() && out.size() < most;) {
@@ -109,7 +110,7 @@
   return out;
 }
 
-void Holder::pushed(const std::string& machine, int status, const WorkerReport* report, Micros now) {
+void ShareController::pushed(const std::string& machine, int status, const WorkerReport* report, Micros now) {
   auto it = view_.machines.find(machine);
   if (it == view_.machines.end()) return;
   Machine& m = it->second;
--- a/src/share/holder_records.cpp
+++ b/src/share/share_controller_records.cpp
@@ -1,13 +1,13 @@
-// A holder's part in the state service: rows of finished tasks, read after a takeover and written as they
+// A owner's part in the state service: rows of finished tasks, read after a takeover and written as they
 // come.
 #include <algorithm>
 #include <charconv>
 
-#include "share/holder.h"
+#include "share/share_controller.h"
 
 namespace aspenwick::share {
 
-void Holder::merge_row(Job& j, std::uint32_t row, const std::string& text) {
+void ShareController::merge_row(Job& j, std::uint32_t row, const std::string& text) {
   if (row >= kUnitRows) {
     j.recorded.merge_unit(row - kUnitRows, text);
   } else {
@@ -16,8 +16,8 @@
   }
 }
 
-void Holder::load_done(const std::string& job, std::uint32_t row, const std::string& text,
-                       std::uint64_t version) {
+void ShareController::load_done(const std::string& job, std::uint32_t row, const std::string& text,
+                                std::uint64_t version) {
   auto it = view_.jobs.find(job);
   if (it == view_.jobs.end()) return;
   Job& j = *it->second;
@@ -29,7 +29,7 @@
   gang_done(j);
 }
 
-std::vector<Holder::DoneWrite> Holder::done_writes(std::size_t most) {
+std::vector<ShareController::DoneWrite> ShareController::done_writes(std::size_t most) {
   std::vector<DoneWrite> out;
   if (most == 0) return out;
   // Most unrecorded results first: in the order of names some jobs would never have their turn.
@@ -62,16 +62,17 @@
   return out;
 }
 
-bool Holder::surely_recorded(const Job& j, std::uint32_t index) const {
+bool ShareController::surely_recorded(const Job& j, std::uint32_t index) const {
   return j.recorded_whole.test(index) || (all_read_units_ && j.recorded.test(index));
 }
 
-std::string Holder::row_name(std::uint32_t row) {
+std::string ShareController::row_name(std::uint32_t row) {
   std::string name = row >= kUnitRows ? "u/" : "";
   return name += std::to_string(row >= kUnitRows ? row - kUnitRows : row);
 }
 
-std::optional<std::pair<std::string, std::uint32_t>> Holder::parse_row_name(const std::string& name) {
+std::optional<std::pair<std::string, std::uint32_t>> ShareController::parse_row_name(
+    const std::string& name) {
   auto slash = name.rfind('/');
   std::uint32_t n = 0;
   if (slash == std::string::npos) return {};
@@ -83,7 +84,7 @@
   return std::pair{name.substr(0, slash - 2), n + kUnitRows};
 }
 
-void Holder::done_written(const DoneWrite& w, bool ok, std::uint64_t version) {
+void ShareController::done_written(const DoneWrite& w, bool ok, std::uint64_t version) {
   auto it = view_.jobs.find(w.job);
   if (it == view_.jobs.end()) return;
   Job& j = *it->second;
@@ -97,7 +98,7 @@
   }
 }
 
-std::vector<std::string> Holder::complete_jobs() const {
+std::vector<std::string> ShareController::complete_jobs() const {
   std::vector<std::string> out;
   for (const auto& [id, j] : view_.jobs)
     if (!j->cancelled && !j->finished && !j->committing && j->done.all() && j->in_flight.empty())
@@ -105,7 +106,7 @@
   return out;
 }
 
-std::vector<std::string> Holder::done_keys(const std::string& job) const {
+std::vector<std::string> ShareController::done_keys(const std::string& job) const {
   std::vector<std::string> out;
   auto it = view_.jobs.find(job);
   if (it == view_.jobs.end()) return out;
@@ -114,7 +115,7 @@
   return out;
 }
 
-void Holder::set_committing(const std::string& job, bool on) {
+void ShareController::set_committing(const std::string& job, bool on) {
   if (auto it = view_.jobs.find(job); it != view_.jobs.end()) it->second->committing = on;
 }
 
--- a/src/share/holder_reports.cpp
+++ b/src/share/share_controller_reports.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "share/holder.h"
+#include "share/share_controller.h"
 
 namespace aspenwick::share {
 
@@ -21,17 +21,18 @@
 /// A worker has one report in flight and drops answers to any other, and to those of earlier sessions. One
 /// that the answer to a push overtook is still waited for: its answer renews the lease, so it has to count,
 /// or the machine's tasks are started elsewhere while they still run there.
-Holder::ReportOrder Holder::order_of(const Machine& m, const WorkerReport& r) {
+ShareController::ReportOrder ShareController::order_of(const Machine& m, const WorkerReport& r) {
   if (std::pair{r.session, r.seq} > std::pair{m.session, m.seq}) return ReportOrder::newest;
   const bool waited_for = r.session == m.session && r.seq > m.report_seq;
   return waited_for ? ReportOrder::overtaken : ReportOrder::copy;
 }
 
-std::optional<Holder::Answer> Holder::on_report(const WorkerReport& r, Micros now, StartRefusal of_owner) {
+std::optional<ShareController::Answer> ShareController::on_report(const WorkerReport& r, Micros now,
+                                                                  StartRefusal of_owner) {
   auto it = view_.machines.find(r.machine);
   if (it == view_.machines.end()) return {};
   Machine& m = it->second;
-  // A worker that has seen a higher token has another holder: our answer would be dropped.
+  // A worker that has seen a higher token has another owner: our answer would be dropped.
   if (r.token > token(m)) return {};
   // Late or repeated reports (held packets) must not undo newer ones. Nobody waits for the answer to a copy.
   const ReportOrder order = order_of(m, r);
@@ -46,7 +47,7 @@
   const int enough = m.pushes_lost >= kGivenUp ? 1 : kMostInVain;
   if (!m.accounted && m.hearing.in_vain() >= enough) return {};
   m.hearing.answered();
-  // Never sooner than before: a copy of an old report may come in the seconds in which the former holder, cut
+  // Never sooner than before: a copy of an old report may come in the seconds in which the former owner, cut
   // off, still answers the worker itself.
   m.lapse_at = std::max(m.lapse_at, surely_lapsed(now));
   if (order == ReportOrder::overtaken) return Answer{token(m), {}};
@@ -54,7 +55,7 @@
   return Answer{token(m), std::move(orders)};  // the orders may take a higher token
 }
 
-bool Holder::apply(Machine& m, const WorkerReport& r, bool own_report, Micros now) {
+bool ShareController::apply(Machine& m, const WorkerReport& r, bool own_report, Micros now) {
   if (std::pair{r.session, r.seq} <= std::pair{m.session, m.seq}) return false;
   if (r.session > m.session) {
     const Micros answered = m.lapse_at - surely_lapsed(0);
@@ -62,7 +63,7 @@
     if (m.session != 0) lapse(m, now, Freed::new_session);
     // A session's lease runs from its beginning, with no report answered: seen through a push, it may have
     // begun just now, and what we start in it lives that long. Before a machine is accounted for we start
-    // nothing, and its former holder knew no session that began after it.
+    // nothing, and its former owner knew no session that began after it.
     if (m.accounted) m.lapse_at = std::max(m.lapse_at, surely_lapsed(now));
     // A session ends when no answer arrives for a lease, and by our book some did.
     if (unheard) doubt(m, now, "its session ended between our answers");
@@ -137,7 +138,7 @@
   return true;
 }
 
-void Holder::adopt(Machine& m, const TaskReport& t, Micros now) {
+void ShareController::adopt(Machine& m, const TaskReport& t, Micros now) {
   Placed p;
   p.job_id = t.job;
   p.index = t.index;
@@ -175,7 +176,7 @@
   view_.add(m, std::move(p));
 }
 
-void Holder::task_exited(Machine& m, const TaskReport& t, Micros now) {
+void ShareController::task_exited(Machine& m, const TaskReport& t, Micros now) {
   auto p = m.tasks.find({t.job, t.index});
   auto it = view_.jobs.find(t.job);
   Job* j = it == view_.jobs.end() ? nullptr : it->second.get();
@@ -225,14 +226,14 @@
 
 /// A gang completes together: where one task is done, all are. The others' machines may be gone before they
 /// tell it; started without the done one, the rest would wait for it, again and again, and the job never end.
-void Holder::gang_done(Job& j) {
+void ShareController::gang_done(Job& j) {
   if (j.spec->shape != Shape::gang || j.done.count() == 0) return;
   for (std::uint32_t i = 0; i < j.spec->tasks; ++i)
     if (j.done.set(i)) j.dirty.insert(i / DoneSet::kUnit);
   j.again.clear();
 }
 
-void Holder::task_done(Job& j, Machine& m, const Placed& p, Micros now) {
+void ShareController::task_done(Job& j, Machine& m, const Placed& p, Micros now) {
   m.error_jobs.clear();
   if (p.run_since == 0 || j.spec->shape == Shape::service) return;
   const double run = std::max(0.05, to_seconds(now - p.run_since));
@@ -245,7 +246,7 @@
                   placement_.rnn().threshold(), placement_.rnn().q(m.neuron));
 }
 
-void Holder::task_failed(Job& j, Machine& m, Micros now) {
+void ShareController::task_failed(Job& j, Machine& m, Micros now) {
   ++j.errors;
   // Not for good: where it is the only machine with room, the job would wait there for ever.
   std::erase_if(j.bad_machines, [&](const auto& bad) { return bad.second <= now; });
@@ -267,7 +268,7 @@
   }
 }
 
-void Holder::lapse(Machine& m, Micros now, Freed why) {
+void ShareController::lapse(Machine& m, Micros now, Freed why) {
   if (!m.tasks.empty())
     spdlog::info("machine {}: {} tasks gone ({})", m.record.id, m.tasks.size(), place::to_string(why));
   while (!m.tasks.empty()) view_.drop(m, m.tasks.begin(), now, why);
@@ -276,7 +277,7 @@
 
 /// Its reports arrive, but what we send seems not to. Under a new token its reports will tell; until then
 /// nothing new is given to it, and what was not sent yet goes elsewhere.
-void Holder::doubt(Machine& m, Micros now, const char* why) {
+void ShareController::doubt(Machine& m, Micros now, const char* why) {
   ++m.bump;
   if (!m.hearing.in_doubt()) spdlog::debug("machine {} is in doubt: {}", m.record.id, why);
   m.hearing.doubt(token(m), now);
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -139,7 +139,7 @@
     EXPECT_EQ(world.ask("b", Method::post, "/v1/jobs", j).status, 201);
     world.engine.run_for(20 * kSecond);
     for (const auto& m : world.machines()) world.only_reaches[m] = "a";
-    world.run_time = 3 * kSecond;  // leaves machines that the new holder can use at once
+    world.run_time = 3 * kSecond;  // leaves machines that the new owner can use at once
     EXPECT_EQ(world.ask("b", Method::post, "/v1/jobs", job("j-2", 8)).status, 201);
     world.engine.run_for(15 * kSecond);
     world.run_time = 3600 * kSecond;
--- a/tests/compatibility_test.cpp
+++ b/tests/compatibility_test.cpp
@@ -49,7 +49,7 @@
     } else if (key.starts_with("s/machine/")) {
       EXPECT_EQ(share::machine_to_json(share::machine_from_json("i-000007", value, 7)), value);
     } else if (key.starts_with("s/holder/")) {
-      EXPECT_EQ(share::holder_to_json(share::holder_from_json(value, 7)), value);
+      EXPECT_EQ(share::owner_to_json(share::owner_from_json(value, 7)), value);
     } else if (key == "s/types") {
       EXPECT_EQ(job::types_rows(wire::types_from_json(value), 2048), std::vector{value});
     } else if (key.starts_with("p/")) {
@@ -105,7 +105,7 @@
   EXPECT_EQ(job::record_from_json(cancelled, 4).spec->need, r.spec->need);
 }
 
-/// A holder of one job of 20,000 tasks, whose whole chunk takes more than a value may.
+/// A owner of one job of 20,000 tasks, whose whole chunk takes more than a value may.
 class ManyTasks : public ::testing::Test {
  protected:
   ManyTasks() {
@@ -116,22 +116,23 @@
     j["pieces"] = 20'000;
     record_.spec = std::make_shared<wire::JobSpec>(wire::job_from_json(j));
   }
-  std::unique_ptr<share::Holder> holder() {
-    auto h = std::make_unique<share::Holder>(
-        platform_, types_, share::HolderSettings{}, [this](const std::string&) { return &record_; }, 5, 0, 0);
+  std::unique_ptr<share::ShareController> holder() {
+    auto h = std::make_unique<share::ShareController>(
+        platform_, types_, share::ShareControllerSettings{}, [this](const std::string&) { return &record_; },
+        5, 0, 0);
     h->job_known("j-000412", record_, false, 0, 0);
     h->machine_known({"i-1", "127.0.0.1:9", "cpu8", "z1"}, true, 0);
     return h;
   }
   /// The machine says that these tasks are done; how many of them it may forget.
-  std::size_t forgets(share::Holder& h, std::uint32_t from, std::uint32_t to) {
+  std::size_t forgets(share::ShareController& h, std::uint32_t from, std::uint32_t to) {
     wire::WorkerReport r;
     r.machine = "i-1", r.session = 1, r.seq = ++seq_, r.token = 5ULL << 20;
     for (std::uint32_t i = from; i < to; ++i)
       r.tasks.push_back({"j-000412", i, 1, wire::TaskState::exited, wire::Cause::done, false});
     return h.on_report(r, 0, place::StartRefusal::lease_not_valid)->orders.size();
   }
-  static std::vector<share::Holder::DoneWrite> write(share::Holder& h) {
+  static std::vector<share::ShareController::DoneWrite> write(share::ShareController& h) {
     auto writes = h.done_writes(100);
     for (const auto& w : writes) h.done_written(w, true, 3);
     return writes;
@@ -149,13 +150,13 @@
   forgets(*h, 0, 300);
   auto first = write(*h);
   ASSERT_EQ(first.size(), 1U);
-  EXPECT_EQ(share::Holder::row_name(first[0].row), "0");  // every version reads this one
+  EXPECT_EQ(share::ShareController::row_name(first[0].row), "0");  // every version reads this one
   EXPECT_EQ(forgets(*h, 0, 300), 300U);
   forgets(*h, 7900, 8300);
   auto rest = write(*h);
   std::vector<std::string> names;
   for (const auto& w : rest) {
-    names.push_back(share::Holder::row_name(w.row));
+    names.push_back(share::ShareController::row_name(w.row));
     EXPECT_LE(w.text.size() + 2, platform_.value_room());
   }
   EXPECT_EQ(names, (std::vector<std::string>{"u/3", "u/4"}));
@@ -177,19 +178,21 @@
   forgets(*h, 16'100, 16'200);
   const auto writes = write(*h);
   ASSERT_EQ(writes.size(), 1U);
-  EXPECT_EQ(share::Holder::row_name(writes[0].row), "u/7");
+  EXPECT_EQ(share::ShareController::row_name(writes[0].row), "u/7");
   EXPECT_EQ(h->done_keys("j-000412"), (std::vector<std::string>{"j-000412/0", "j-000412/u/7"}));
 }
 
 TEST(Compatibility, RowsOfUnitsAreNoRowsToAnOlderVersion) {
-  EXPECT_EQ(share::Holder::parse_row_name("j-1/5"), (std::pair<std::string, std::uint32_t>{"j-1", 5}));
-  const std::uint32_t unit = share::Holder::kUnitRows + 5;
-  EXPECT_EQ(share::Holder::parse_row_name("j-1/u/5"), (std::pair<std::string, std::uint32_t>{"j-1", unit}));
+  EXPECT_EQ(share::ShareController::parse_row_name("j-1/5"),
+            (std::pair<std::string, std::uint32_t>{"j-1", 5}));
+  const std::uint32_t unit = share::ShareController::kUnitRows + 5;
+  EXPECT_EQ(share::ShareController::parse_row_name("j-1/u/5"),
+            (std::pair<std::string, std::uint32_t>{"j-1", unit}));
   // It cuts at the last slash and looks the job up by what is before it.
-  const std::string name = "j-1/" + share::Holder::row_name(unit);
+  const std::string name = "j-1/" + share::ShareController::row_name(unit);
   EXPECT_FALSE(wire::valid_job_id(name.substr(0, name.rfind('/'))));
   for (const char* bad : {"", "j-1", "j-1/", "j-1/x", "j-1/u/", "j-1/99999999999"})
-    EXPECT_FALSE(share::Holder::parse_row_name(bad)) << bad;
+    EXPECT_FALSE(share::ShareController::parse_row_name(bad)) << bad;
 }
 
 TEST(Compatibility, ManyMachineTypesTakeSeveralRows) {
--- a/tests/long_pass_test.cpp
+++ b/tests/long_pass_test.cpp
@@ -5,7 +5,7 @@
 #include <set>
 
 #include "fixtures.h"
-#include "share/holder.h"
+#include "share/share_controller.h"
 
 namespace aspenwick::share {
 namespace {
@@ -15,7 +15,7 @@
   const auto types = testing::machine_types();
   std::map<std::string, JobRecord> jobs;
   Micros now = 1000 * kSecond;
-  Holder holder(
+  ShareController holder(
       platform, types, {}, [&](const std::string& id) { return &jobs.at(id); }, 1, now, now);
   constexpr int kMachines = 800, kTasks = 2500;  // room for 3,200 tasks
   for (int i = 0; i < kMachines; ++i) {
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -9,7 +9,7 @@
 
 struct MeetingTest : NodeTest {};
 
-// A request to give a share back that got lost, unanswered: its holder neither started anything of it nor
+// A request to give a share back that got lost, unanswered: its owner neither started anything of it nor
 // answered its workers, and went on renewing its key.
 TEST_F(MeetingTest, AHandBackThatNeverArrivesLeavesNoShareWithoutAHolder) {
   SmallWorld w;
@@ -288,7 +288,7 @@
   }
 }
 
-// Cancellations at every moment of a share's change of hands: its holder ends, another takes it, it goes
+// Cancellations at every moment of a share's change of hands: its owner ends, another takes it, it goes
 // home.
 TEST_F(FurtherMeetings, CancellationsWhileAShareChangesHands) {
   for (Micros at = 0; at <= 24 * kSecond; at += 800 * kMillisecond) {
--- a/tests/outside_input_test.cpp
+++ b/tests/outside_input_test.cpp
@@ -91,7 +91,7 @@
        [](const std::string& s) { wire::parse_row(s); });
   feed(R"({"hold":7})", [](const std::string& s) { wire::parse_lease(s); });
   feed(R"({"node":"a","lease":7,"epoch":3})",
-       [](const std::string& s) { share::holder_from_json(wire::Json::parse(s), 1); });
+       [](const std::string& s) { share::owner_from_json(wire::Json::parse(s), 1); });
   feed(R"({"share":1,"epoch":3,"addr":"1.2.3.4:5","type":"g8","zone":"a","spot":true})",
        [](const std::string& s) { share::machine_from_json("i-000001", wire::Json::parse(s), 1); });
   job::JobRecord record;
--- a/tests/provisioner_test.cpp
+++ b/tests/provisioner_test.cpp
@@ -123,7 +123,7 @@
   const auto moves = only<Move>(provisioner_.tick(now_, {{0, true, {}, {idle, lapsed, busy}}}, records_));
   ASSERT_EQ(moves.size(), 2U);
   for (const auto& m : moves) EXPECT_EQ(m.to, -1);
-  // Only when its holder has let it go is it deleted.
+  // Only when its owner has let it go is it deleted.
   EXPECT_TRUE(only<Delete>(provisioner_.tick(now_, {}, records_)).empty());
   records_["i-000001"].share = -1;
   EXPECT_EQ(only<Delete>(provisioner_.tick(now_, {}, records_)).size(), 1U);
--- a/tests/ran_twice_test.cpp
+++ b/tests/ran_twice_test.cpp
@@ -1,7 +1,7 @@
 // Causes for which a task ran on two machines at once, or again after it was done: each test brings one about
 // (docs/incidents/2026-12-02-production.md).
 #include "node_fixture.h"
-#include "share/holder.h"
+#include "share/share_controller.h"
 
 namespace aspenwick::testing {
 namespace {
@@ -144,7 +144,7 @@
   job::JobRecord record;
   bool known = false;
   auto look_up = [&](const std::string&) { return known ? &record : nullptr; };
-  share::Holder owner(platform, types, {}, look_up, kEpoch, kNow, kNow);
+  share::ShareController owner(platform, types, {}, look_up, kEpoch, kNow, kNow);
   for (const char* id : {"i-1", "i-2"}) {
     share::MachineRecord machine;
     machine.id = id, machine.address = "127.0.0.1:9", machine.type = "cpu8", machine.zone = "z1";
--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -156,7 +156,7 @@
   EXPECT_EQ(told[0].body.value("status", ""), "withdrawn");
 }
 
-// The holder's word on a job takes its time, and the job is called off at the node that asked: it is not told
+// The owner's word on a job takes its time, and the job is called off at the node that asked: it is not told
 // as queued after that.
 TEST_F(RequestsTest, APeersLateWordTellsNothingOlder) {
   SmallWorld w;
@@ -177,9 +177,9 @@
   std::vector<Answer> told;
   for (const auto& node : kNodes)
     w.send(node, Method::get, "/v1/jobs/j-1", {}, [&](const Answer& a) { told.push_back(a); });
-  w.engine.run_for(60 * kMillisecond);  // read afresh; the holder is being asked
+  w.engine.run_for(60 * kMillisecond);  // read afresh; the owner is being asked
   const auto before = told.size();
-  // The holder knows it, and can't say so: the user comes again, and nobody is told anything older meanwhile.
+  // The owner knows it, and can't say so: the user comes again, and nobody is told anything older meanwhile.
   Answer cancelled;
   for (int i = 0; i < 10 && cancelled.status != 200; ++i) {
     cancelled = w.ask("a", Method::post, "/v1/jobs/j-1/withdraw");
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -53,7 +53,7 @@
   EXPECT_DOUBLE_EQ(s.state_rps, 80);
 }
 
-// A holder that nobody reaches goes on for its store lease, its workers for one lease more: settings under
+// A owner that nobody reaches goes on for its store lease, its workers for one lease more: settings under
 // which they would outlive a cancellation end the start with the field's name.
 TEST(PlatformSettings, LeaveTimeToCancel) {
   auto j = testing::settings_json();  // leases of 12 s and 5 s
@@ -62,7 +62,7 @@
     const auto s = wire::parse_settings(j.dump());
     share::check_time_to_cancel(s);
     const share::Ownership own(s);
-    return share::kHolderLease + own.unconfirmed_bound() + s.worker_lease;
+    return share::kOwnerLease + own.unconfirmed_bound() + s.worker_lease;
   };
   for (const double cancel_s : {20.0, 21.5, 28.0, 37.0, 300.0})
     EXPECT_LT(check(cancel_s), from_seconds(cancel_s));
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -10,8 +10,8 @@
 
 #include "fixtures.h"
 #include "share/heartbeats.h"
-#include "share/holder.h"
 #include "share/ownership.h"
+#include "share/share_controller.h"
 
 namespace aspenwick::share {
 namespace {
@@ -37,7 +37,7 @@
       else
         keys_[w.substr(0, eq)] = w.substr(eq + 1);
     }
-    if (!holder_event(event) && !ownership_event(event) && !graph_event(event))
+    if (!controller_event(event) && !ownership_event(event) && !graph_event(event))
       out_.push_back("unknown event");
     follow_graph();
     return out_;
@@ -100,12 +100,12 @@
     return r;
   }
 
-  bool holder_event(const std::string& event) {
+  bool controller_event(const std::string& event) {
     if (event == "hold") {
       if (!pipelines_) jobs_.clear();
-      HolderSettings s;
+      ShareControllerSettings s;
       s.rnn.round_robin = 0;
-      holder_ = std::make_unique<Holder>(
+      controller_ = std::make_unique<ShareController>(
           platform_, types_, s,
           [this](const std::string& id) -> const JobRecord* {
             auto it = jobs_.find(id);
@@ -145,12 +145,12 @@
         r.spec = std::make_shared<JobSpec>(spec);
         jobs_[words_.at(0)] = r;
         graph_.update(words_.at(0), r);
-        if (holder_ && graph_.ready(words_.at(0)) && key("elsewhere", "no") == "no")
-          holder_->job_known(words_.at(0), r, key("fresh", "yes") == "yes", now_, wall());
+        if (controller_ && graph_.ready(words_.at(0)) && key("elsewhere", "no") == "no")
+          controller_->job_known(words_.at(0), r, key("fresh", "yes") == "yes", now_, wall());
         return true;
       }
       jobs_[words_.at(0)] = r;
-      holder_->job_known(words_.at(0), r, key("fresh", "yes") == "yes", now_, kWallClock);
+      controller_->job_known(words_.at(0), r, key("fresh", "yes") == "yes", now_, kWallClock);
     } else if (event == "withdrawn" || event == "finished") {
       JobRecord& r = jobs_.at(words_.at(0));
       r.status = event == "finished" ? wire::JobStatus::done : wire::JobStatus::cancelled;
@@ -159,21 +159,21 @@
       r.version = static_cast<std::uint64_t>(number("version", 2));
       graph_.update(words_.at(0), r);
       r.spec.reset();
-      if (!holder_) return true;
-      holder_->job_known(words_.at(0), r, false, now_, kWallClock);
+      if (!controller_) return true;
+      controller_->job_known(words_.at(0), r, false, now_, kWallClock);
     } else if (event == "machine") {
       MachineRecord m;
       m.id = words_.at(0), m.address = "127.0.0.1:9", m.type = key("type", "cpu8"),
       m.zone = key("zone", "z1");
       m.spot = key("spot", "no") == "yes", m.epoch = static_cast<std::uint64_t>(number("epoch", 0));
-      holder_->machine_known(m, key("empty", "no") == "yes", now_);
+      controller_->machine_known(m, key("empty", "no") == "yes", now_);
     } else if (event == "loaded") {
       for (std::size_t i = 0; i + 1 < words_.size(); i += 2)
-        holder_->load_done(words_[i], 0, words_[i + 1], 7);
-      holder_->loaded(now_);
+        controller_->load_done(words_[i], 0, words_[i + 1], 7);
+      controller_->loaded(now_);
       say_rebuilt();
     } else if (event == "report") {
-      auto a = holder_->on_report(report(words_.at(0), 1), now_, of_owner());
+      auto a = controller_->on_report(report(words_.at(0), 1), now_, of_owner());
       if (!a) {
         out_.push_back("no right to act");
       } else {
@@ -182,12 +182,12 @@
       }
       say_rebuilt();
     } else if (event == "raise") {
-      holder_->raise_epoch(static_cast<std::uint64_t>(number("epoch", 2)));
+      controller_->raise_epoch(static_cast<std::uint64_t>(number("epoch", 2)));
     } else if (event == "tick") {
-      holder_->tick(now_, of_owner());
+      controller_->tick(now_, of_owner());
       say_rebuilt();
     } else if (event == "push") {
-      for (const auto& p : holder_->pushes(now_, 1000, of_owner())) {
+      for (const auto& p : controller_->pushes(now_, 1000, of_owner())) {
         out_.push_back("push to " + p.machine + " token " + pair(p.token, '+') + " session " +
                        std::to_string(p.session));
         for (const auto& o : p.orders) out_.push_back(show(o));
@@ -195,23 +195,24 @@
     } else if (event == "pushed") {
       const int status = std::stoi(words_.at(1));
       const auto r = report(words_.at(0), 2);
-      holder_->pushed(words_.at(0), status, status ? &r : nullptr, now_);
+      controller_->pushed(words_.at(0), status, status ? &r : nullptr, now_);
       say_rebuilt();
     } else if (event == "where") {
-      for (const auto& s : holder_->describe()) out_.push_back(s);
+      for (const auto& s : controller_->describe()) out_.push_back(s);
     } else if (event == "record") {
-      for (const auto& w : holder_->done_writes(10)) {
-        out_.push_back("write done " + w.job + " chunk " + Holder::row_name(w.row) + " " + w.text +
+      for (const auto& w : controller_->done_writes(10)) {
+        out_.push_back("write done " + w.job + " chunk " + ShareController::row_name(w.row) + " " + w.text +
                        " if version " + std::to_string(w.version));
-        holder_->done_written(w, key("ok", "yes") == "yes", static_cast<std::uint64_t>(number("version", 8)));
+        controller_->done_written(w, key("ok", "yes") == "yes",
+                                  static_cast<std::uint64_t>(number("version", 8)));
       }
-      for (const auto& id : holder_->complete_jobs()) out_.push_back("complete " + id);
+      for (const auto& id : controller_->complete_jobs()) out_.push_back("complete " + id);
     } else if (event == "state") {  // as the leader is told
-      for (const auto& m : holder_->machine_states(now_))
+      for (const auto& m : controller_->machine_states(now_))
         out_.push_back(m.id + (m.usable ? " usable" : "") + (m.empty ? " empty" : "") +
                        (m.lapsed ? " gone" : ""));
     } else if (event == "release") {
-      out_.push_back(holder_->release(words_.at(0), now_) ? "released" : "kept");
+      out_.push_back(controller_->release(words_.at(0), now_) ? "released" : "kept");
     } else {
       return false;
     }
@@ -259,9 +260,9 @@
           (graph_.ready(id) ? " ready since " + std::to_string((c.ready - kWallClock) / kSecond) : " waits") +
           ", " + kRanks[static_cast<int>(c.rank)] +
           (c.finish_by ? ", by " + std::to_string((*c.finish_by - kWallClock) / kSecond) : ""));
-      if (!holder_ || !graph_.ready(id)) continue;
-      holder_->job_known(id, r, graph_.ready_version(id) > 100, now_, wall());
-      holder_->set_course(id, c, now_, wall());
+      if (!controller_ || !graph_.ready(id)) continue;
+      controller_->job_known(id, r, graph_.ready_version(id) > 100, now_, wall());
+      controller_->set_course(id, c, now_, wall());
     }
   }
 
@@ -275,12 +276,12 @@
     } else if (event == "holder") {
       const int share = std::stoi(words_.at(0));
       if (words_.at(1) == "gone")
-        own_.holder_removed(share, now_);
+        own_.owner_removed(share, now_);
       else
-        own_.holder_set(share,
-                        {words_.at(1), static_cast<std::uint64_t>(number("lease", 0)), 1,
-                         static_cast<std::uint64_t>(number("version", 1))},
-                        now_);
+        own_.owner_set(share,
+                       {words_.at(1), static_cast<std::uint64_t>(number("lease", 0)), 1,
+                        static_cast<std::uint64_t>(number("version", 1))},
+                       now_);
     } else if (event == "peer") {
       const Micros since = peer_since_.try_emplace(words_.at(0), now_).first->second;
       own_.peer_reported(words_.at(0),
@@ -336,16 +337,16 @@
       return own_.renewable_until(std::stoi(words_.at(0)), now_);
     Ownership after(own_);
     constexpr int kUnused = 100;
-    after.holder_set(kUnused, {words_.at(0), static_cast<std::uint64_t>(number("lease", 0)), 1, 1}, now_);
-    after.holder_removed(kUnused, now_);
+    after.owner_set(kUnused, {words_.at(0), static_cast<std::uint64_t>(number("lease", 0)), 1, 1}, now_);
+    after.owner_removed(kUnused, now_);
     return after.renewable_until(kUnused, now_);
   }
 
   static std::string seconds(Micros at) { return std::to_string((at - kStart) / kSecond); }
 
   void say_rebuilt() {
-    if (holder_->rebuilt() && rebuilt_ != holder_.get()) {
-      rebuilt_ = holder_.get();
+    if (controller_->rebuilt() && rebuilt_ != controller_.get()) {
+      rebuilt_ = controller_.get();
       out_.push_back("rebuilt");
     }
   }
@@ -358,8 +359,8 @@
     auto it = jobs_.find(id);
     return it == jobs_.end() ? nullptr : &it->second;
   }};
-  std::unique_ptr<Holder> holder_;
-  const Holder* rebuilt_ = nullptr;
+  std::unique_ptr<ShareController> controller_;
+  const ShareController* rebuilt_ = nullptr;
   static constexpr std::uint64_t kIncarnation = 3;
   Heartbeats heartbeats_{"a", kIncarnation};
   Ownership own_{platform_};
