--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -246,5 +246,27 @@
   }
 }
 
+// A cancellation that a peer of the former version tells goes by no revision until its record comes: others
+// have read up to the open record's, which tells nothing of it.
+TEST_F(RequestsTest, ACancellationToldAheadOfItsRecordHasNoRevision) {
+  Engine engine;
+  NodeLoop loop(engine);
+  Silent http;
+  const auto platform = wire::parse_settings(settings_json().dump());
+  store::Client client(loop, http, platform);
+  std::vector<std::uint64_t> revisions;
+  app::Records records(platform,
+                       {loop, client, [](const std::string&, const job::JobRecord&) {},
+                        [&](const std::string&, std::uint64_t revision) { revisions.push_back(revision); }});
+  job::JobRecord record;
+  record.spec = std::make_shared<const wire::JobSpec>(wire::job_from_json(job("j-1", 1)));
+  record.version = 10;
+  records.set_job("j-1", record);
+  records.cancelled_elsewhere("j-1", 0);
+  record.status = wire::JobStatus::cancelled, record.version = 12;
+  records.set_job("j-1", record);
+  EXPECT_EQ(revisions, (std::vector<std::uint64_t>{0, 12}));
+}
+
 }  // namespace
 }  // namespace aspenwick::testing
