--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -164,7 +164,7 @@
 void Client::changes(const std::string& prefix, std::uint64_t since, Listed done) {
   submit(Urgency::read,
          {net::Method::get, "/changes?under=" + prefix + "&since=" + std::to_string(since) + "&holdMs=0", "",
-          0, kDeadline, 0, [done = std::move(done)](int status, const std::string& body) {
+          0, kDeadline, 0, [this, since, done = std::move(done)](int status, const std::string& body) {
             if (status != 200) return done(false, {}, 0);
             wire::Page page;
             try {
@@ -173,6 +173,7 @@
               spdlog::error("state service: {}", e.what());
               return done(false, {}, 0);
             }
+            if (older_than_asked(page, since)) return done(false, {}, 0);
             done(true, std::move(page.rows), page.revision);
           }});
 }
@@ -222,15 +223,18 @@
        });
 }
 
+bool Client::older_than_asked(const wire::Page& page, std::uint64_t since) {
+  if (page.revision >= since) return false;
+  ++old_answers_;
+  spdlog::error("state service: answered as of revision {}, asked for changes after {}", page.revision,
+                since);
+  return true;
+}
+
 /// Rows in the order of their revisions, each once, whichever answer brought them. false: the answer is older
 /// than its question.
 bool Client::tell_changes(wire::Page page, std::uint64_t since, Micros sent) {
-  if (page.revision < since) {
-    ++old_answers_;
-    spdlog::error("state service: answered as of revision {}, asked for changes after {}", page.revision,
-                  since);
-    return false;
-  }
+  if (older_than_asked(page, since)) return false;
   std::erase_if(page.rows, [this](const wire::Row& row) { return row.version <= watch_revision_; });
   watch_revision_ = std::max(watch_revision_, page.revision);
   watched_as_of_ = std::max(watched_as_of_, sent);
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -89,6 +89,7 @@
   void send(Request request);
   void pump();
   void follow();
+  bool older_than_asked(const wire::Page& page, std::uint64_t since);
   bool tell_changes(wire::Page page, std::uint64_t since, Micros sent);
   void read_all();
   void list_page(const std::string& prefix, const std::string& after, std::vector<wire::Row> sofar,
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -83,6 +83,17 @@
   EXPECT_EQ(caught_up, 0);
 }
 
+TEST_F(ClientTest, AFreshReadThatIsOlderThanItsQuestionFails) {
+  std::vector<bool> read;
+  auto done = [&](bool ok, const std::vector<wire::Row>&, std::uint64_t) { read.push_back(ok); };
+  client.changes("s/job/", 10, done);
+  http.take().done(200, changes(9, {}));
+  client.changes("s/job/", 10, done);
+  http.take().done(200, changes(10, {}));
+  EXPECT_EQ(read, (std::vector<bool>{false, true}));
+  EXPECT_EQ(client.old_answers(), 1U);
+}
+
 TEST_F(ClientTest, ADamagedAnswerMakesNothingFresher) {
   const Micros as_of = client.watched_as_of();
   catch_up().done(200, "{");
