--- a/tests/small_world.h
+++ b/tests/small_world.h
@@ -11,122 +11,14 @@
 #include <vector>
 
 #include "app/controller.h"
+#include "engine.h"
 #include "fixtures.h"
 #include "net/exchange.h"
 #include "net/loop.h"
+#include "state_store.h"
 
 namespace aspenwick::testing {
 
-using wire::Json;
-
-/// Events in the order of their times; those of a node that has crashed are left out.
-class Engine {
- public:
-  Micros now = 1000 * kSecond;
-  void at(Micros delay, std::function<void()> what) {
-    events_.emplace(std::pair{now + std::max<Micros>(0, delay), ++count_}, std::move(what));
-  }
-  void run_for(Micros span) {
-    const Micros until = now + span;
-    while (!events_.empty() && events_.begin()->first.first <= until) {
-      now = events_.begin()->first.first;
-      const auto what = std::move(events_.extract(events_.begin()).mapped());
-      what();
-    }
-    now = until;
-  }
-
- private:
-  std::map<std::pair<Micros, std::uint64_t>, std::function<void()>> events_;
-  std::uint64_t count_ = 0;
-};
-
-class NodeLoop : public net::Loop {
- public:
-  explicit NodeLoop(Engine& engine) : engine_(engine) {}
-  Micros now() const override { return engine_.now; }
-  Micros time_of_day() const override { return engine_.now + 1'700'000'000 * kSecond; }
-  void later(Micros delay, std::function<void()> what) override {
-    engine_.at(delay, [this, alive = alive_, what = std::move(what)]() mutable {
-      if (!*alive) return;
-      if (frozen() > 0) return later(frozen() + ++waited_ * kWorkedThrough, std::move(what));
-      what();
-    });
-  }
-  void every(Micros period, std::function<void()> what) override {
-    later(period, [this, period, what] {
-      every(period, what);
-      what();
-    });
-  }
-  void crash() { *alive_ = false; }
-  /// All that would happen until then happens then, one thing after the other.
-  void freeze(Micros span) {
-    frozen_until_ = engine_.now + span;
-    waited_ = 0;
-  }
-  Micros frozen() const { return std::max<Micros>(0, frozen_until_ - engine_.now); }
-
- private:
-  static constexpr Micros kWorkedThrough =
-      kMillisecond / 4;  // what a node takes for each thing that has waited
-  Engine& engine_;
-  Micros frozen_until_ = 0, waited_ = 0;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-};
-
-/// The state service: keys with stamps, leases, watches.
-class StateStore {
- public:
-  using Done = std::function<void(int, const std::string&)>;
-  explicit StateStore(Engine& engine) : engine_(engine) { expire(); }
-  /// `waits`: an open watch is told nothing while it says so, as when the service is down or refuses a node.
-  void request(
-      net::Method method, const std::string& path, const std::string& body, const Done& done,
-      const std::function<bool()>& waits = [] { return false; });
-
-  /// Whoever follows from before now gets 410.
-  void forget_changes() { log_.clear(), log_stamps_.clear(), oldest_ = revision_; }
-  /// As somebody else's requests would.
-  std::uint64_t grant(Micros life) {
-    leases_[++next_lease_] = {life, engine_.now + life};
-    return next_lease_;
-  }
-  void set(const std::string& key, const Json& value, std::uint64_t lease) {
-    ++revision_;
-    put(key, Kept{value, revision_, lease});
-  }
-
-  struct Kept {
-    Json value;
-    std::uint64_t stamp = 0, lease = 0;
-  };
-  std::map<std::string, Kept> keys;
-  std::function<void(const std::string& key)> on_set = [](const std::string&) {};
-  int held_keys_removed = 0;
-  bool down = false;                // nothing is executed, and leases have their full time again afterwards
-  std::size_t rows_in_page = 1000;  // at most, of a list of keys
-  Micros page_takes = 0;            // until a page is answered, as it is by then
-
- private:
-  void commit(const Json& asked, const Done& done);
-  void changes(const std::string& under, std::uint64_t since, Micros until, const Done& done,
-               const std::function<bool()>& waits);
-  void put(const std::string& key, std::optional<Kept> value);
-  void end_lease(std::uint64_t lease);
-  void expire();
-  Json page(const std::string& under, const std::string& since) const;
-
-  struct Lease {
-    Micros life = 0, ends = 0;
-  };
-  Engine& engine_;
-  std::uint64_t revision_ = 1, next_lease_ = 7, oldest_ = 0;
-  std::map<std::uint64_t, Lease> leases_;
-  std::vector<std::pair<std::string, std::optional<Kept>>> log_;  // with the stamp of each change
-  std::vector<std::uint64_t> log_stamps_;
-};
-
 struct Answer {
   int status = 0;
   Json body;
