--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -131,7 +131,7 @@
   std::set<std::string> seen;
   for (const auto& r : rows) seen.insert(r.key);
   owned_shares_.reading_keys();
-  // Machines and jobs before owners: a share's owner is made from all that was there when it was taken.
+  // Machines and jobs before keys: a share's controller is made from all that was there when it was taken.
   for (const auto& key : records_.missing(seen)) apply({key, nullptr, 0, true});
   for (const auto& key : owned_shares_.missing(seen, first)) apply({key, nullptr, 0, true});
   for (const auto& r : rows) apply(r);
@@ -240,9 +240,8 @@
   spdlog::info("metrics: waits {}, planning {}, state calls {}", waits_.text(), planning_.text(),
                state_calls_.text());
   spdlog::info(
-      "metrics: records as of {:.3f} s ago, {} catch-ups, {} old answers of the state service, {} plans of "
-      "the "
-      "leader refused",
+      "metrics: records as of {:.3f} s ago, {} catch-ups, {} old answers of the state service, "
+      "{} plans of the leader refused",
       to_seconds(loop_.now() - records_.read_as_of()), store_.catch_ups(), store_.old_answers(),
       lead_refused_);
   spdlog::info("metrics: reports {} users {} jobs {} machines {} shares {}{}", worker_api_.reports(),
--- a/src/app/job_api.cpp
+++ b/src/app/job_api.cpp
@@ -39,7 +39,7 @@
   if (it == asks_.end()) return;
   const StatusWait wait = std::move(it->second);
   asks_.erase(it);
-  // A owner that doesn't know the job yet (a share changes hands) has nothing to say of it.
+  // An owner that doesn't know the job yet (a share changes hands) has nothing to say of it.
   if (t.known) note_tally(wait.job, {t.done, t.running});
   answer(wait.exchange, 200, wait.job);
 }
--- a/src/app/owned_shares.cpp
+++ b/src/app/owned_shares.cpp
@@ -173,22 +173,22 @@
 /// What its former owners recorded as done, read until the state service answers.
 void OwnedShares::load_done(int s, std::uint64_t made) {
   const std::string prefix = kProgress + std::to_string(s) + "/";
-  needs_.store.list(
-      prefix, [this, s, made, prefix](bool ok, const std::vector<wire::Row>& rows, std::uint64_t) {
-        OwnedShare* owned = find(s, made);
-        if (!owned) return;
-        if (!ok) return needs_.loop.later(kLoadAgain, [this, s, made] { load_done(s, made); });
-        std::vector<std::string> over;
-        for (const auto& r : rows) {
-          const auto name = share::ShareController::parse_row_name(r.key.substr(prefix.size()));
-          if (!name || !r.value.is_string()) continue;
-          if (const auto* j = records().job(name->first); j && j->final()) over.push_back(r.key);
-          owned->controller->load_done(name->first, name->second, r.value.get<std::string>(), r.version);
-        }
-        needs_.records.delete_keys(std::move(over));  // left by a owner that ended, or that knew no such rows
-        owned->controller->loaded(needs_.loop.now());
-        needs_.poke();
-      });
+  needs_.store.list(prefix, [this, s, made, prefix](bool ok, const std::vector<wire::Row>& rows,
+                                                    std::uint64_t) {
+    OwnedShare* owned = find(s, made);
+    if (!owned) return;
+    if (!ok) return needs_.loop.later(kLoadAgain, [this, s, made] { load_done(s, made); });
+    std::vector<std::string> over;
+    for (const auto& r : rows) {
+      const auto name = share::ShareController::parse_row_name(r.key.substr(prefix.size()));
+      if (!name || !r.value.is_string()) continue;
+      if (const auto* j = records().job(name->first); j && j->final()) over.push_back(r.key);
+      owned->controller->load_done(name->first, name->second, r.value.get<std::string>(), r.version);
+    }
+    needs_.records.delete_keys(std::move(over));  // left by an owner that ended, or that knew no such rows
+    owned->controller->loaded(needs_.loop.now());
+    needs_.poke();
+  });
 }
 
 void OwnedShares::job_seen(const std::string& id, const job::JobRecord& record) {
--- a/src/app/owned_shares.h
+++ b/src/app/owned_shares.h
@@ -1,5 +1,5 @@
-// The shares that this node holds, and the leadership: our lease at the state service, taking keys, handing
-// back, and a owner for each share, fed from the records.
+// The shares that this node owns, and the leadership: our lease at the state service, keys taken and handed
+// back, and a controller for each share, fed from the records.
 #pragma once
 #include <functional>
 #include <map>
@@ -29,7 +29,7 @@
   };
   struct OwnedShare {
     std::unique_ptr<share::ShareController> controller;  // never empty
-    std::uint64_t made = 0;         // tells this owner from any other of the share, before and after
+    std::uint64_t made = 0;         // tells this controller from any other of the share, before and after
     std::uint64_t epoch = 0;        // of the share's key as it is now
     std::uint64_t key_version = 0;  // the same; guards what the owner commits
     std::uint64_t taken_version =
@@ -58,7 +58,7 @@
   void keys_read() { own_.keys_read(needs_.loop.now()); }
   /// Job records are known as of a later moment than before.
   void records_read() { own_.records_read(records().read_as_of()); }
-  /// Makes, ends and feeds owners as the keys and records now say.
+  /// Makes, ends and feeds the shares' controllers as the keys and records now say.
   void sync();
   void job_seen(const std::string& id, const job::JobRecord& record);
 
--- a/src/job/graph.h
+++ b/src/job/graph.h
@@ -1,7 +1,7 @@
 // Which jobs wait for which: readiness, cancellation, priority and deadlines along a pipeline. Socket-free:
 // fed each job's record as the state service holds it, in whatever order the records come.
 //
-// Invariant: a job is ready only once every job that it needs is recorded as done; a owner's belief or a
+// Invariant: a job is ready only once every job that it needs is recorded as done; an owner's belief or a
 // peer's message isn't enough. As done and cancelled are both final, a ready job has no needed job left to
 // cancel, and what stands below a cancelled job can never become ready.
 #pragma once
--- a/src/place/cluster_view.h
+++ b/src/place/cluster_view.h
@@ -1,4 +1,4 @@
-// What a owner knows of its share: jobs, machines, and which attempt is, or may be, where.
+// What an owner knows of its share: jobs, machines, and which attempt is, or may be, where.
 #pragma once
 #include <algorithm>
 #include <array>
--- a/src/share/cancellations.h
+++ b/src/share/cancellations.h
@@ -1,6 +1,6 @@
 // Which cancellations our processes have told one another. Whoever may have told a user that a job is
 // cancelled numbers it, and repeats it to each peer until the peer's process has said that it had it or has
-// read it in the state service by itself. So a owner that the state service doesn't answer knows whether a
+// read it in the state service by itself. So an owner that the state service doesn't answer knows whether a
 // peer that lacks the service too may have confirmed something that the owner never heard of. Socket-free.
 #pragma once
 #include <cstdint>
--- a/src/share/ownership.cpp
+++ b/src/share/ownership.cpp
@@ -23,7 +23,7 @@
 }
 
 void check_time_to_cancel(const wire::PlatformSettings& platform) {
-  // A owner that nobody reaches renews its workers until its own lease is over, and they go on for one more.
+  // An owner that nobody reaches renews its workers until its own lease is over, and they go on for one more.
   if (platform.cancel >= kOwnerLease + platform.worker_lease + kBoundMargin) return;
   throw wire::Malformed("params.workers.cancel_s: must be at least lease_s and " +
                         std::to_string((kOwnerLease + kBoundMargin) / kSecond) + " s");
@@ -109,8 +109,8 @@
   return now - read_ < kOwnerLease + kBoundMargin + unconfirmed_bound();
 }
 
-/// What keeps a peer that lacks the state service too from confirming a owner; null: nothing. Once it was
-/// cut off from the service alone, a owner must not take a common outage for its right to go on: others may
+/// What keeps a peer that lacks the state service too from confirming an owner; null: nothing. Once it was
+/// cut off from the service alone, an owner must not take a common outage for its right to go on: others may
 /// have confirmed cancellations before it, or taken the share and lost their leases since.
 const char* Ownership::objection(int share, const PeerState& peer) const {
   const OwnerKey* key = owner(share);
@@ -215,7 +215,7 @@
     const int turn = (home_ - s + shares()) % shares();
     // Right after our own start a home that we have not heard of is mostly starting too.
     // One that lives but that the state service does not answer can't take it: waiting for it left four
-    // shares without a owner for 8 s where one node was left that could.
+    // shares without an owner for 8 s where one node was left that could.
     const auto home = peers_.find(node_of(s));
     const bool home_able = home != peers_.end() && home->second.state_ok && peer_alive(node_of(s), now);
     const bool home_first = home_able || now - started_ < kHomeFirst;
--- a/src/share/ownership.h
+++ b/src/share/ownership.h
@@ -32,7 +32,7 @@
   bool state_ok = false, synced = false;
   std::uint64_t lease = 0;
   Micros at = 0;  // by our clock: not after it was said
-  // What a owner needs that wants to go on beyond its lease; the version before tells nothing of it.
+  // What an owner needs that wants to go on beyond its lease; the version before tells nothing of it.
   bool knows_all = false;  // we know all cancellations that it may have told a user of
   Micros since = 0;        // its process was there at this time, by our clock, and has been ever since
   std::vector<std::uint64_t> epochs;  // by share: the highest that it knows to be taken
--- a/src/share/peer_frame.h
+++ b/src/share/peer_frame.h
@@ -43,7 +43,7 @@
   std::uint64_t had = 0;              // of the receiver's process `echo_incarnation`, up to which number
   std::vector<std::uint64_t> epochs;  // by share: the highest that the sender knows to be taken
 };
-/// The leader asks a owner to give a machine away, empty or to be drained; share -1: to be deleted.
+/// The leader asks an owner to give a machine away, empty or to be drained; share -1: to be deleted.
 struct ReleaseAsk {
   std::string machine;
   int to_share = -1;
--- a/src/share/share_controller_answers.cpp
+++ b/src/share/share_controller_answers.cpp
@@ -1,4 +1,4 @@
-// What a owner tells others: a job's tally, waiting work and machines for the leader, everything for traces.
+// What an owner tells others: a job's tally, waiting work and machines for the leader, everything for traces.
 #include <algorithm>
 
 #include "share/share_controller.h"
--- a/src/share/share_controller_records.cpp
+++ b/src/share/share_controller_records.cpp
@@ -1,4 +1,4 @@
-// A owner's part in the state service: rows of finished tasks, read after a takeover and written as they
+// An owner's part in the state service: rows of finished tasks, read after a takeover and written as they
 // come.
 #include <algorithm>
 #include <charconv>
--- a/tests/compatibility_test.cpp
+++ b/tests/compatibility_test.cpp
@@ -105,7 +105,7 @@
   EXPECT_EQ(job::record_from_json(cancelled, 4).spec->need, r.spec->need);
 }
 
-/// A owner of one job of 20,000 tasks, whose whole chunk takes more than a value may.
+/// An owner of one job of 20,000 tasks, whose whole chunk takes more than a value may.
 class ManyTasks : public ::testing::Test {
  protected:
   ManyTasks() {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -86,7 +86,7 @@
   for (int i = 1; i <= 5; ++i)
     EXPECT_EQ(w.ask("a", Method::post, "/v1/jobs", job("j-" + std::to_string(i), 15)).status, 201);
   for (int i = 1; i <= 5; ++i) EXPECT_TRUE(done_in_time(w, "b", "j-" + std::to_string(i)));
-  EXPECT_EQ(w.store.held_keys_removed, 0);  // no share was ever without a owner
+  EXPECT_EQ(w.store.held_keys_removed, 0);  // no share was ever without an owner
   EXPECT_EQ(w.starts.size(), 75U);
   for (const auto& [task, n] : w.starts) EXPECT_EQ(n, 1) << task;
   EXPECT_EQ(w.attempts.size(), 75U);  // each number once
@@ -246,7 +246,7 @@
   EXPECT_TRUE(w.store.keys.contains("s/types"));
 }
 
-// The shares of a node that is back at once are not without a owner until its former lease has run out.
+// The shares of a node that is back at once are not without an owner until its former lease has run out.
 TEST_F(NodeTest, ItsFormerLeaseIsEndedFirst) {
   SmallWorld w;
   w.engine.run_for(20 * kSecond);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -53,7 +53,7 @@
   EXPECT_DOUBLE_EQ(s.state_rps, 80);
 }
 
-// A owner that nobody reaches goes on for its store lease, its workers for one lease more: settings under
+// An owner that nobody reaches goes on for its store lease, its workers for one lease more: settings under
 // which they would outlive a cancellation end the start with the field's name.
 TEST(PlatformSettings, LeaveTimeToCancel) {
   auto j = testing::settings_json();  // leases of 12 s and 5 s
