Rows of results that are read before their job is known are kept for it

Symptom: after a takeover, tasks that were recorded as done would run again, and their row be written anew without them. Found by reading; AttributionTest.RowsThatAreReadBeforeTheirJobIsKnownCount failed before: a tally of 0 where 2 tasks are recorded. Not seen with whole nodes: the watch tells records in order, ahead of a successor's key.

Cause: a new owner lists the rows of its share once, and load_done dropped rows, and their versions, of a job that was not planned yet: its record not readable, not whole, or waiting for others as far as known.

Mend: they are kept and applied when the job becomes known, before anything of it is placed. It holds because from the takeover on only the new owner changes rows of the share: its key guards each write.

--- a/src/share/share_controller.cpp
+++ b/src/share/share_controller.cpp
@@ -77,6 +77,7 @@
                                 Micros time_of_day) {
   auto it = view_.jobs.find(id);
   if (record.final()) {
+    rows_before_jobs_.erase(id);
     if (it == view_.jobs.end()) return;
     Job& j = *it->second;
     (record.status == wire::JobStatus::cancelled ? j.cancelled : j.finished) = true;
@@ -118,6 +119,9 @@
   j->recorded = j->recorded_whole = j->done;
   Job& known = *view_.jobs.emplace(id, std::move(j)).first->second;
   ++view_.changes;
+  const auto rows = rows_before_jobs_.extract(id);
+  if (rows)
+    for (const auto& [row, read] : rows.mapped()) load_done(id, row, read.text, read.version);
   // Before anything of it can be placed: its tasks may be running, or done, on machines that told so already.
   attribute(known, now);
 }
--- a/src/share/share_controller.h
+++ b/src/share/share_controller.h
@@ -269,7 +269,13 @@
   Micros held_since_;
   std::vector<Micros> waits_, result_waits_;
   Micros records_as_of_ = 0;
-  Attribution attribution_;                            // but for what is open now
+  Attribution attribution_;  // but for what is open now
+  struct ReadRow {
+    std::string text;
+    std::uint64_t version = 0;
+  };
+  /// Rows of jobs that are not planned yet, by job: read once, after the takeover.
+  std::map<std::string, std::map<std::uint32_t, ReadRow>> rows_before_jobs_;
   std::map<std::string, DoneSet> recorded_by_others_;  // by job, of chunks_of_others()
   std::array<std::uint64_t, place::kReleaseRefusals> releases_refused_{};
   std::array<std::uint64_t, place::kStartRefusals> refused_{};
--- a/src/share/share_controller_records.cpp
+++ b/src/share/share_controller_records.cpp
@@ -20,7 +20,13 @@
 void ShareController::load_done(const std::string& job, std::uint32_t row, const std::string& text,
                                 std::uint64_t version) {
   auto it = view_.jobs.find(job);
-  if (it == view_.jobs.end()) return;
+  if (it == view_.jobs.end()) {
+    // Its record may be on its way to us, or it waits for others by records that lag: the row is read only
+    // now.
+    const JobRecord* record = lookup_(job);
+    if (!record || !record->final()) rows_before_jobs_[job][row] = {text, version};
+    return;
+  }
   Job& j = *it->second;
   if (row >= kUnitRows ? row - kUnitRows >= j.done.chunks() * DoneSet::kUnitsInChunk : row >= j.done.chunks())
     return;
--- a/tests/attribution_test.cpp
+++ b/tests/attribution_test.cpp
@@ -47,6 +47,24 @@
   EXPECT_EQ(owner.done_writes(10, now).size(), 1U);  // and it is recorded
 }
 
+// A successor reads the rows of its share while the record of a job is still on its way to it.
+// What happened: the row was dropped, tasks that are done were started again, and the row that recorded them
+// was written anew without them. Why: load_done took a job that it didn't know for one that there isn't.
+TEST_F(AttributionTest, RowsThatAreReadBeforeTheirJobIsKnownCount) {
+  job::DoneSet recorded(3);
+  recorded.set(0), recorded.set(1);
+  owner.load_done("j-1", 0, recorded.chunk_text(0), 7);
+  report("i-1", {});
+  report("i-2", {});
+  accept("j-1", 3);
+  place();
+  EXPECT_EQ(owner.tally("j-1")->first, 2U);
+  EXPECT_EQ(owner.describe().size(), 1U);  // task 2
+  report("i-1", {done("j-1", 2)});
+  EXPECT_EQ(owner.complete_jobs().size(), 1U);
+  EXPECT_EQ(owner.done_keys("j-1"), (std::vector<std::string>{"j-1/0"}));
+}
+
 // The answers to pushes are reports too.
 TEST_F(AttributionTest, WhatAnswersToPushesTellIsKeptAsWell) {
   report("i-1", {});
