Rows of owners' keys count by revision, whatever way they come

Not seen with whole nodes; RowsTest.AnOlderRowOfAnOwnersKeyChangesNothing failed before: epoch 2 after epoch 3.

Cause: the last row told counted, whichever its revision; our own commits' answers come ahead of the watch.

Mend: one place, RowRevisions, knows the newest revision told of each such key, and what is older is left out; removals of machines are compared as well. It holds because a revision is the service's own order of changes.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -133,8 +133,8 @@
   for (const auto& r : rows) seen.insert(r.key);
   owned_shares_.reading_keys();
   // Machines and jobs before keys: a share's controller is made from all that was there when it was taken.
-  for (const auto& key : records_.missing(seen, as_of)) apply({key, nullptr, 0, true});
-  for (const auto& key : owned_shares_.missing(seen, as_of, first)) apply({key, nullptr, 0, true});
+  for (const auto& key : records_.missing(seen, as_of)) apply({key, nullptr, as_of, true});
+  for (const auto& key : owned_shares_.missing(seen, as_of, first)) apply({key, nullptr, as_of, true});
   for (const auto& r : rows) apply(r);
   owned_shares_.keys_read();
   records_.in_step();
--- a/src/app/owned_shares.cpp
+++ b/src/app/owned_shares.cpp
@@ -34,6 +34,8 @@
 
 void OwnedShares::read(const wire::Row& row) {
   const std::string& key = row.key;
+  // Our own raised epoch comes ahead of the watch, and the pages of a list are of different revisions.
+  if (!revisions_.take(key, row.version)) return;
   if (key.starts_with(kOwner)) {
     const int share = std::stoi(key.substr(kOwner.size()));
     if (share < 0 || share >= own_.shares()) return;
--- a/src/app/owned_shares.h
+++ b/src/app/owned_shares.h
@@ -10,6 +10,7 @@
 
 #include "app/operator_settings.h"
 #include "app/records.h"
+#include "app/row_revisions.h"
 #include "net/loop.h"
 #include "share/ownership.h"
 #include "share/peer_frame.h"
@@ -117,6 +118,7 @@
   std::map<int, OwnedShare> owned_;
   std::map<int, std::uint64_t> last_epochs_;  // with which we owned each share last
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> tokens_;  // counter -> epoch, row's version
+  RowRevisions revisions_;
   std::set<int> taking_;
   std::set<std::uint64_t> ending_;  // leases of former processes
   bool taking_leader_ = false, lease_asked_ = false;
--- a/src/app/owned_shares_keys.cpp
+++ b/src/app/owned_shares_keys.cpp
@@ -131,6 +131,7 @@
       [this, s, made = owned.made, mine = OwnerKey(mine)](int code, std::uint64_t revision) mutable {
         if (code != 200 || !find(s, made)) return;
         mine.version = revision;
+        if (!revisions_.take(kOwner + std::to_string(s), revision)) return;
         own_.owner_set(s, mine, needs_.loop.now());
         sync();
       });
--- a/src/app/records.cpp
+++ b/src/app/records.cpp
@@ -74,10 +74,11 @@
   } else if (key.starts_with(kMachine)) {
     const std::string id = key.substr(kMachine.size());
     machines_changed_.insert(id);
+    const auto* known = machine(id);
     if (row.removed) {
-      machines_.erase(id);
+      if (known && known->version <= row.version) machines_.erase(id);
     } else {
-      if (const auto* known = machine(id); known && known->version >= row.version) return;
+      if (known && known->version >= row.version) return;
       machines_[id] = share::machine_from_json(id, row.value, row.version);
     }
   } else if (!row.removed) {
--- a/tests/records_rows_test.cpp
+++ b/tests/records_rows_test.cpp
@@ -44,5 +44,27 @@
   EXPECT_EQ(shares.missing({}, 12, false), std::vector<std::string>{"s/holder/1"});
 }
 
+// Our own raised epoch is known by its commit's answer, ahead of the watch; pages of a list may be older than
+// that. What happened: the older row replaced the newer one, so that an owner with the raised epoch no longer
+// counted as the owner, or a key that was gone came back. Why: the last row told counted, whatever its
+// revision.
+TEST_F(RowsTest, AnOlderRowOfAnOwnersKeyChangesNothing) {
+  shares.apply(owner_row(3, 12));
+  shares.apply(owner_row(2, 9));
+  ASSERT_NE(shares.ownership().owner(1), nullptr);
+  EXPECT_EQ(shares.ownership().owner(1)->epoch, 3U);
+  shares.apply({"s/holder/1", nullptr, 11, true});
+  ASSERT_NE(shares.ownership().owner(1), nullptr);
+  shares.apply({"s/holder/1", nullptr, 13, true});
+  EXPECT_EQ(shares.ownership().owner(1), nullptr);
+  shares.apply(owner_row(3, 12));
+  EXPECT_EQ(shares.ownership().owner(1), nullptr);
+  shares.apply(owner_row(4, 14));
+  ASSERT_NE(shares.ownership().owner(1), nullptr);
+  shares.apply({"s/leader", share::owner_to_json({"b", 7, 5, 20}), 20, false});
+  shares.apply({"s/leader", share::owner_to_json({"c", 8, 4, 19}), 19, false});
+  EXPECT_EQ(shares.ownership().leader()->node, "b");
+}
+
 }  // namespace
 }  // namespace aspenwick::testing
