--- a/tests/small_world.cpp
+++ b/tests/small_world.cpp
@@ -230,7 +230,17 @@
 }
 
 void SmallWorld::lose_some_machine() {
-  if (Worker* w = some_machine()) w->tasks.clear(), w->hangs_until = engine.now + 3600 * kSecond;
+  Worker* w = some_machine();
+  if (!w) return;
+  lose_tasks(*w);
+  w->hangs_until = engine.now + 3600 * kSecond;
+}
+
+/// All that is on the machine is gone, results too.
+void SmallWorld::lose_tasks(Worker& w) {
+  for (const auto& [key, t] : w.tasks)
+    if (t.cause == "done") lost_results_.insert(key.first);
+  w.tasks.clear();
 }
 
 std::vector<std::string> SmallWorld::machines_of(const std::string& job) const {
@@ -364,7 +374,7 @@
 /// Nobody answered for so long: it ends all and begins anew.
 void SmallWorld::check_lease(Worker& w) {
   if (engine.now <= w.lease_ends) return;
-  w.tasks.clear();
+  lose_tasks(w);
   ++w.session;
   w.lease_ends = engine.now + lease_;
 }
@@ -473,6 +483,16 @@
   }
 }
 
+/// A task that is done is started again although its result was not lost.
+void SmallWorld::check_again(const Worker& w, const std::string& task) {
+  if (!completed.contains(task) || lost_results_.contains(task)) return;
+  const auto holder = workers_.find(completed_on_[task]);
+  if (holder != workers_.end() && engine.now > holder->second.lease_ends) return;
+  if (ran_again++ == 0)
+    first_again = task + " on " + w.id + ", done on " + completed_on_[task] + " at " +
+                  std::to_string(to_seconds(engine.now));
+}
+
 /// What is on a machine counts, started or not seen to go.
 void SmallWorld::check_cancelled(const Worker& w, const std::string& task) {
   const auto told = cancelled.find(task.substr(0, task.find('/')));
@@ -668,6 +688,8 @@
 
 void SmallWorld::complete(Worker& w, const std::pair<std::string, std::uint64_t>& key) {
   w.tasks.at(key).cause = "done";
+  completed_on_[key.first] = w.id;
+  lost_results_.erase(key.first);
   if (completed.insert(key.first).second) on_completed(key.first);
 }
 
@@ -699,6 +721,7 @@
                       std::to_string(to_seconds(engine.now));
   }
   ++starts[task];
+  check_again(w, task);
   check_cancelled(w, task);
   check_place(w, task);
   check_ordered(w, task, ordered_at);
--- a/tests/small_world.h
+++ b/tests/small_world.h
@@ -115,7 +115,11 @@
   std::map<std::string, Json> submitted;
   std::string broken;               // the first such rule
   std::set<std::string> completed;  // tasks
-  Micros run_spread = 0;            // added to run_time, by task
+  /// Starts of completed tasks whose result was at its worker until a node had it forgotten or its machine
+  /// deleted; the first of them. A result that went with its worker's session is lost to everybody.
+  int ran_again = 0;
+  std::string first_again;
+  Micros run_spread = 0;  // added to run_time, by task
   /// Told of each task that has completed.
   std::function<void(const std::string& task)> on_completed = [](const std::string&) {};
   /// The latest start after its job's user was told that it is cancelled.
@@ -148,6 +152,8 @@
                  const StateStore::Done& done);
   Worker* some_machine();
   void check_lease(Worker& w);
+  void lose_tasks(Worker& w);
+  void check_again(const Worker& w, const std::string& task);
   void check_cancelled(const Worker& w, const std::string& task);
   void check_place(const Worker& w, const std::string& task);
   void check_ordered(const Worker& w, const std::string& task, Micros ordered_at);
@@ -179,7 +185,9 @@
   Micros every_ = 0, lease_ = 0, cancel_ = 0;  // between reports; of a worker; of a cancellation
   Micros gang_wait_ = 0, gang_peer_ = 0;
   std::string cut_zone_, zone_node_;
-  std::vector<std::string> kept_reports_;  // for the next leader
+  std::vector<std::string> kept_reports_;            // for the next leader
+  std::map<std::string, std::string> completed_on_;  // task -> machine
+  std::set<std::string> lost_results_;               // tasks
   bool calm_ = false;
   std::map<std::string, Micros> lasting_;                      // room of a machine for a job, or of its team
   std::map<std::string, std::pair<Micros, int>> waits_since_;  // by job: since when, and its starts by then
