Soak: results that lag while owners end; the judge sees a done task that starts again

A fault kind refuses rows of results for some seconds while two owners are killed and back after 0.05 s. The rule ran_again: a start of a task whose result was kept by its worker, forgotten on order or given back with its machine; one that went with the worker's session is lost to everybody.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,7 +14,7 @@
                       self.stand_still_in_outages, self.refuse, self.outage,
                       self.cut_from_peers, self.cut_from_all, self.cut_zone_and_kill_successors, self.hang, self.deafen, self.mute,
                       self.late_commits, self.lost_answers, self.late_reports, self.late_commands, self.slow_reports,
-                      self.lose_machines, self.forget_changes, self.kill_leader]
+                      self.lose_machines, self.forget_changes, self.kill_leader, self.lag_results_and_kill_owners]
 
     def note(self, what):
         self.schedule.append((round(self.judge.seconds(), 2), what))
@@ -53,6 +53,16 @@
         self.note(f"kill the leader {node.name}, back after 0.1 s")
         await self.restart(node, 0.1)
 
+    async def lag_results_and_kill_owners(self):
+        """What is done is known to workers and owners only, while machines go on being moved and given back."""
+        span = self.random.uniform(4, 12)
+        self.note(f"rows of results are refused for {span:.1f} s, two owners are killed meanwhile, back after 0.05 s")
+        self.state.refused_results = 1.0
+        for _ in range(2):
+            await asyncio.sleep(span / 2)
+            await self.restart(self.some_node(), 0.05)
+        self.state.refused_results = 0.0
+
     async def kill_all(self):
         self.note("kill all")
         await asyncio.gather(*(self.restart(n, self.random.uniform(0.05, 2)) for n in self.cluster.nodes.values()))
@@ -152,6 +162,7 @@
         workers = self.some_workers()[:2]
         self.note(f"{[w.name for w in workers]} are gone")
         for worker in workers:
+            self.judge.results_lost(worker)
             worker.gone = True
             self.world.workers.pop(worker.name, None)
 
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -1,7 +1,7 @@
 """Judges the rules from outside: by what workers ran and what users were told."""
 import time
 
-RULES = ["ran_twice", "ran_after_done", "quota", "wrong_place", "ran_cancelled", "forgotten", "invented", "not_done", "went_back",
+RULES = ["ran_twice", "ran_after_done", "ran_again", "quota", "wrong_place", "ran_cancelled", "forgotten", "invented", "not_done", "went_back",
          "nothing_ran", "started_cancelled"]
 UNDER_WAY_S = 0.5  # an order that left before its job's user was told of the cancellation may reach its machine so much later
 TOLERANCE_S = 0.2  # between two events that the judge sees one after the other
@@ -23,6 +23,7 @@
         self.limits = limits  # team -> processors
         self.jobs = {}
         self.completed = set()  # tasks
+        self.results = {}  # done task -> the worker that holds its result; None: it was told to forget it
         self.live = {}  # task -> {worker: attempt}
         self.starts = 0
         self.broken = []  # (rule, seconds, what)
@@ -46,6 +47,8 @@
         job = self.jobs.get(task.split("/")[0])
         if job is None:
             return
+        if self.result_was_kept(task):
+            self.breaks("ran_again", f"{task} on {worker.name}, it was done")
         if job.done_at is not None:
             self.breaks("ran_after_done", f"{task} on {worker.name}")
         if job.cancelled_at is not None:
@@ -66,6 +69,23 @@
         self.live.get(task, {}).pop(worker, None)
         if done:
             self.completed.add(task)
+            self.results[task] = worker
+
+    def result_was_kept(self, task):
+        """It is done, and its result did not go with its worker's session: that is lost to everybody."""
+        if task not in self.results:
+            return False
+        worker = self.results[task]
+        return worker is None or worker.gone or worker.holds_lease()
+
+    def result_forgotten(self, task):
+        if task in self.results:
+            self.results[task] = None
+
+    def results_lost(self, worker):
+        """Its session has ended, or the machine is lost; not: it was given back."""
+        for task in [t for t, holder in self.results.items() if holder is worker]:
+            del self.results[task]
 
     def check_place(self, worker, task, job):
         site = job.spec["site"]
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -12,6 +12,7 @@
     def __init__(self, name, zone="z1", spot=False):
         self.name, self.zone, self.spot = name, zone, spot
         self.lease = True
+        self.gone = False
 
     def holds_lease(self):
         return self.lease
@@ -53,6 +54,36 @@
         self.judge.started(self.second, "j-1/0", 2)
         self.assertEqual(self.broken(), [])
 
+    def complete(self, worker):
+        self.judge.started(worker, "j-1/0", 1)
+        self.judge.ended(worker, "j-1/0", done=True)
+
+    def test_ran_again(self):
+        self.complete(self.first)
+        self.judge.started(self.second, "j-1/0", 2)
+        self.assertEqual(self.broken(), ["ran_again"])
+
+    def test_ran_again_on_a_machine_that_was_given_back(self):
+        self.complete(self.first)
+        self.first.gone, self.first.lease = True, False
+        self.judge.started(self.second, "j-1/0", 2)
+        self.assertEqual(self.broken(), ["ran_again"])
+
+    def test_ran_again_after_its_worker_forgot_it(self):
+        self.complete(self.first)
+        self.judge.result_forgotten("j-1/0")
+        self.judge.results_lost(self.first)
+        self.judge.started(self.second, "j-1/0", 2)
+        self.assertEqual(self.broken(), ["ran_again"])
+
+    def test_a_result_that_went_with_its_workers_session_is_made_again(self):
+        self.complete(self.first)
+        self.judge.results_lost(self.first)
+        self.complete(self.second)
+        self.second.lease = False  # and not looked at yet
+        self.judge.started(self.first, "j-1/0", 3)
+        self.assertEqual(self.broken(), [])
+
     def test_ran_after_done(self):
         self.job.done_at = time.monotonic()
         self.judge.started(self.first, "j-1/0", 2)
--- a/tests/soak/plants.py
+++ b/tests/soak/plants.py
@@ -9,7 +9,7 @@
         self.told = set()
 
     async def plant(self, rule):
-        planted = {"ran_twice": self.second_machine, "ran_after_done": self.done_task, "quota": self.over_the_limit,
+        planted = {"ran_twice": self.second_machine, "ran_after_done": self.done_task, "ran_again": self.done_task_of_an_open_job, "quota": self.over_the_limit,
                    "wrong_place": self.other_zone, "ran_cancelled": self.deaf_to_halts, "forgotten": self.false_answer,
                    "invented": self.false_answer, "not_done": self.false_answer, "went_back": self.false_answer,
                    "nothing_ran": self.no_machine_obeys, "started_cancelled": self.cancelled_task}
@@ -49,6 +49,15 @@
         job_id, worker = await self.some(find)
         worker.launch((f"{job_id}/0", 1))
 
+    async def done_task_of_an_open_job(self, _):
+        def find():
+            done = [t for t in self.judge.completed
+                    if self.judge.result_was_kept(t) and self.judge.jobs[t.split("/")[0]].done_at is None]
+            worker = self.another_worker(None)
+            return done and worker and (done[0], worker)
+        task, worker = await self.some(find)
+        worker.launch((task, 1 << 60))
+
     async def over_the_limit(self, _):
         def find():
             job = next((i for i, j in self.judge.jobs.items() if j.spec["owner"] == "tight" and j.accepted), None)
--- a/tests/soak/state_service.py
+++ b/tests/soak/state_service.py
@@ -30,6 +30,7 @@
         self.down = False
         self.refused = set()  # nodes
         self.late_commits = 0.0  # part of commits that are executed seconds later, unanswered
+        self.refused_results = 0.0  # part of commits with rows of results that are refused
         self.lost_answers = 0.0  # part of answers to commits
         self.node_of_port = {}
 
@@ -67,6 +68,8 @@
         return await self.handle_lease(request)
 
     async def handle_commit(self, asked):
+        if any(w.get("set", "").startswith("p/") for w in asked["writes"]) and self.random.random() < self.refused_results:
+            return web.json_response({"error": "trouble"}, status=503)
         if self.random.random() < self.late_commits:
             asyncio.get_running_loop().call_later(self.random.uniform(1, 8), self.commit, asked)
             await asyncio.sleep(10)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -52,6 +52,7 @@
             return
         for task, _ in list(self.tasks):
             self.world.judge.ended(self, task)
+        self.world.judge.results_lost(self)
         self.tasks.clear()
         self.session += 1
         self.lease_ends = time.monotonic() + self.world.lease_s
@@ -65,6 +66,8 @@
             known.cause = "stopped"
             self.world.judge.ended(self, key[0])
         elif order["verb"] == "forget" and known is not None and known.cause is not None:
+            if known.cause == "done":
+                self.world.judge.result_forgotten(key[0])
             del self.tasks[key]
 
     def launch(self, key, ordered_at=None):
