A move whose answer was lost is looked up before its machine is used again

Symptom: after an epoch was raised in place, a machine whose move had been executed unanswered counted as not moved and took tasks again, though its row names another share (open in docs/design/rights.md).

Cause: the new key refuses further tries and says nothing of those before it; our commit's answer tells of the new key ahead of the watch that would tell of the move.

Mend: the machine's row is read after the change of the key, and only its old version lets the machine be used. It holds because the read begins after the last moment at which a try could be executed.

--- a/src/app/result_writer.cpp
+++ b/src/app/result_writer.cpp
@@ -237,7 +237,7 @@
     moving_.erase(id);
     return;
   }
-  if (owned->key_version != key_version) return stay(id, from);
+  if (owned->key_version != key_version) return stay_unless_moved(std::move(m), from, made);
   const auto urgency = m.share >= 0 ? store::Urgency::user : store::Urgency::background;
   std::vector<wire::Guard> guards{{kMachine + id, m.version}, {owner_key(from), key_version}};
   std::vector<wire::Write> writes{{kMachine + id, share::machine_to_json(m), {}, false}};
@@ -257,6 +257,24 @@
       });
 }
 
+/// The share's key has changed, so that no try can be executed any more; one may have been before, and the
+/// watch not have told it yet. Read from now on, the machine's row says which.
+void ResultWriter::stay_unless_moved(share::MachineRecord m, int from, std::uint64_t made) {
+  const std::string key = kMachine + m.id;
+  needs_.store.get(key, store::Urgency::read,
+                   [this, m = std::move(m), from, made](int code, const wire::Row& row) mutable {
+                     if (code == 200 && row.version == m.version && needs_.owned_shares.find(from, made))
+                       return stay(m.id, from);
+                     if (code == 200 || code == 404) {
+                       moving_.erase(m.id);  // moved, or gone: the watch tells
+                       return;
+                     }
+                     needs_.loop.later(kMoveAgain, [this, m = std::move(m), from, made]() mutable {
+                       stay_unless_moved(std::move(m), from, made);
+                     });
+                   });
+}
+
 /// Surely not moved: it is used again.
 void ResultWriter::stay(const std::string& machine, int from) {
   moving_.erase(machine);
--- a/src/app/result_writer.h
+++ b/src/app/result_writer.h
@@ -40,6 +40,7 @@
   void write_done();
   void commit_move(share::MachineRecord to_be, int from, std::uint64_t made, std::uint64_t key_version,
                    bool unsure);
+  void stay_unless_moved(share::MachineRecord machine, int from, std::uint64_t made);
   void stay(const std::string& machine, int from);
   void read_chunks_of_others();
   void wrote_done(int share, std::uint64_t made, const share::ShareController::DoneWrite& write);
