--- a/src/share/share_controller_records.cpp
+++ b/src/share/share_controller_records.cpp
@@ -42,13 +42,15 @@
 std::vector<ShareController::DoneWrite> ShareController::done_writes(std::size_t most, Micros now) {
   std::vector<DoneWrite> out;
   if (most == 0) return out;
-  auto urgency = urgent_results(now);
   std::vector<std::pair<Job*, Urgency*>> dirty;
-  for (auto& [id, j] : view_.jobs) {
-    if (j->cancelled || j->finished || j->committing || j->done.all() || j->dirty.empty()) continue;
-    Urgency& urgent = urgency[id];
-    urgent.unrecorded = j->done.count() - j->recorded.count();
-    dirty.emplace_back(j.get(), &urgent);
+  for (auto& [id, j] : view_.jobs)
+    if (!j->cancelled && !j->finished && !j->committing && !j->done.all() && !j->dirty.empty())
+      dirty.emplace_back(j.get(), nullptr);
+  if (dirty.empty()) return out;
+  auto urgency = urgent_results(now);
+  for (auto& [j, urgent] : dirty) {
+    urgent = &urgency[j->id];
+    urgent->unrecorded = j->done.count() - j->recorded.count();
   }
   std::sort(dirty.begin(), dirty.end(), [](const auto& a, const auto& b) {
     const Urgency &x = *a.second, &y = *b.second;
