--- a/src/share/share_controller.h
+++ b/src/share/share_controller.h
@@ -223,7 +223,7 @@
   /// What the records say of a job that a machine reports.
   enum class JobStanding : std::uint8_t { planned, over, of_another_share, not_known };
   JobStanding standing_of(const std::string& job) const;
-  bool awaits_records(const Placed& p) const;
+  bool may_have_a_job(const Placed& p) const;
   bool awaits_records(const Machine& m) const;
   void adopt(Machine& m, const wire::TaskReport& t, Micros now);
   void account_for(Machine& m, Placed p, Micros now);
--- a/src/share/share_controller_attribution.cpp
+++ b/src/share/share_controller_attribution.cpp
@@ -22,14 +22,17 @@
   return ours ? JobStanding::not_known : JobStanding::of_another_share;
 }
 
-/// Its job's record may still be on its way to us.
-bool ShareController::awaits_records(const Placed& p) const {
-  return p.unattributed && records_as_of_ <= p.started;
+/// Its job's record may still be on its way to us, or is there and not whole.
+bool ShareController::may_have_a_job(const Placed& p) const {
+  const JobRecord* record = lookup_(p.job_id);
+  return records_as_of_ <= p.started || (record && !record->spec);
 }
 
+/// One of its attempts may be of any team.
 bool ShareController::awaits_records(const Machine& m) const {
-  return m.unattributed > 0 &&
-         std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) { return awaits_records(t.second); });
+  return m.unattributed > 0 && std::any_of(m.tasks.begin(), m.tasks.end(), [&](const auto& t) {
+           return t.second.unattributed && records_as_of_ <= t.second.started;
+         });
 }
 
 /// An attempt that the machine reports and its account doesn't have.
@@ -58,7 +61,7 @@
       view_.halt(p, 0);
       break;
     case JobStanding::not_known:
-      p.unattributed = records_as_of_ <= p.started || (record && !record->spec);
+      p.unattributed = may_have_a_job(p);
       if (p.unattributed) break;
       // Started before we heard of it, its job would have a record by now; or it waits for others, and
       // nothing of it may run.
@@ -129,8 +132,7 @@
       const Placed& p = here->second;
       if (!p.unattributed) continue;
       const bool open = standing_of(p.job_id) == JobStanding::not_known;
-      const JobRecord* record = lookup_(p.job_id);
-      if (open && (awaits_records(p) || (record && !record->spec))) continue;
+      if (open && may_have_a_job(p)) continue;
       if (!open) ++attribution_.attributed_attempts;
       account_for(*m, view_.take_unattributed(*m, here), now);
     }
