Tasks are assigned by division, not one by one: needs of nothing took seconds

Cause: the leader's assign_tasks and preempt_for's count of what halting tasks free took a step for each task that fits. A job of 100,000 tasks that need nothing, or next to nothing, takes 100,000 steps for one machine, at the leader twice a second.

Change: both divide, by Resources::copies_that_fit, which now also says 0 where fits_in does (less than nothing is free of a resource that isn't needed).

The test checks what is assigned, not the time.

--- a/src/fleet/provisioner.cpp
+++ b/src/fleet/provisioner.cpp
@@ -125,14 +125,19 @@
 
 /// Reserves the machine's free capacity for as many of the demand's tasks as fit; returns their number.
 std::uint32_t Provisioner::assign_tasks(PendingDemand& pending, MachineCapacity& machine) const {
-  std::uint32_t n = 0;
-  while (pending.remaining > 0 && can_use(pending, machine) && pending.demand.need.fits_in(machine.free)) {
-    if (pending.demand.need.gpus > 0) machine.reserved_for_gpu = true;
-    machine.free -= pending.demand.need;
-    machine.reserved = true;
-    --pending.remaining, ++pending.assigned, ++n;
-    if (pending.demand.max_per_zone > 0) ++pending.assigned_by_zone[machine.zone];
+  if (pending.remaining == 0 || !can_use(pending, machine)) return 0;
+  const auto& need = pending.demand.need;
+  auto n = static_cast<std::uint32_t>(need.copies_that_fit(machine.free, pending.remaining));
+  if (pending.demand.max_per_zone > 0) {
+    std::uint32_t& assigned = pending.assigned_by_zone[machine.zone];
+    n = std::min(n, pending.demand.max_per_zone - assigned);  // can_use(): it is below the maximum
+    assigned += n;
   }
+  if (n == 0) return 0;
+  if (need.gpus > 0) machine.reserved_for_gpu = true;
+  machine.free -= need * n;
+  machine.reserved = true;
+  pending.remaining -= n, pending.assigned += n;
   return n;
 }
 
--- a/src/place/placement.cpp
+++ b/src/place/placement.cpp
@@ -576,7 +576,9 @@
       for (const auto& [key, p] : m.tasks)
         if (p.halting) available += p.need;
       // Tasks being halted free this capacity already.
-      while (missing > 0 && fits(j, m, available)) available -= j.spec->need, --missing;
+      const std::int64_t freed = fits(j, m, available) ? j.spec->need.copies_that_fit(available, missing) : 0;
+      available -= j.spec->need * freed;
+      missing -= freed;
       if (missing <= 0) return Preemption::pending;
     }
     if (!can_stop) continue;
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -30,8 +30,10 @@
   bool fits_in(const Resources& available) const {
     return cpus <= available.cpus && gpus <= available.gpus && memory <= available.memory;
   }
-  /// How many copies of this fit into `available`: 0 to `limit`, and `limit` if nothing is needed.
+  /// How many copies of this fit into `available` together, 0 to `limit`; 0 if a single one does not, see
+  /// fits_in().
   std::int64_t copies_that_fit(const Resources& available, std::int64_t limit) const {
+    if (!fits_in(available)) return 0;
     if (cpus > 0) limit = std::min(limit, available.cpus / cpus);
     if (gpus > 0) limit = std::min(limit, available.gpus / gpus);
     if (memory > 0) limit = std::min(limit, available.memory / memory);
--- a/tests/provisioner_test.cpp
+++ b/tests/provisioner_test.cpp
@@ -180,6 +180,22 @@
   EXPECT_TRUE(actions_of_type<RentMachines>(provisioner_.tick(now_, {{0, true, {d}, {}}}, records_)).empty());
 }
 
+// Tasks that need nothing fit on any machine in any number, but in each zone only as many as may be there.
+TEST_F(ProvisionerTest, AssignsTasksThatNeedNothingUpToTheZoneLimit) {
+  const auto machine = add_machine("i-000001", 0, 0);
+  share::Demand d = demand(0, 100'000, false, wire::Rank::high);
+  d.need = {};
+  EXPECT_TRUE(actions_of_type<RentMachines>(
+                  provisioner_.tick(now_, {{0, true, std::vector(64, d), {machine}}}, records_))
+                  .empty());
+  d.max_per_zone = 50'000;  // the other half needs a machine in another zone
+  const auto rents =
+      actions_of_type<RentMachines>(provisioner_.tick(now_, {{0, true, {d}, {machine}}}, records_));
+  ASSERT_EQ(rents.size(), 1U);
+  EXPECT_EQ(rents[0].count, 1);
+  EXPECT_NE(rents[0].zone, "z1");
+}
+
 TEST_F(ProvisionerTest, DoesNotRentExpensiveMachinesForWorkWithEnoughSlack) {
   // cpu8 machines hold eight tasks and cost 0.8, or 0.3 as spot; GPU machines cost ten times as much.
   share::Demand d = demand(1, 60, true, wire::Rank::low);
