Every waiting job is told to the leader: the 73rd waited beside room

Cause: ShareController::demands cut the list for the leader at 64 jobs, and 8 more that had waited for long. For those behind, the leader neither rented nor moved nor drained a machine.

Change: DemandList lists the first 64 jobs one by one as before, and merges the others into groups with the same requirements. More than 64 groups take turns, and their classes speak for those that wait for their turn. The list has at most 128 entries, the frame is unchanged. A metrics line says how many jobs and groups there are.

--- a/bench/scale_bench.cpp
+++ b/bench/scale_bench.cpp
@@ -122,6 +122,18 @@
     }
   }
 
+  /// Adds jobs of one task each, whose tasks need memory of `different_needs` different amounts.
+  void add_jobs_of_one_task(std::int64_t n, std::int64_t different_needs) {
+    for (std::int64_t i = 0; i < n; ++i) {
+      auto r = make_job(static_cast<int>(jobs.size()), 1, wire::Rank::low);
+      auto spec = std::make_shared<wire::JobSpec>(*r.spec);
+      spec->need.memory += i % different_needs;
+      r.spec = spec;
+      jobs[spec->id] = r;
+      controller->on_job_record(spec->id, r, false, now, 0);
+    }
+  }
+
   /// Sends the report and applies the orders of the response to it, so that the next report shows them, as
   /// that of a worker does. Returns how many tasks were launched.
   std::size_t send_report(wire::WorkerReport& r) {
@@ -236,6 +248,18 @@
   state.counters["bytes"] = static_cast<double>(bytes);
 }
 
+/// Lists the demands of jobs of one task that wait, with so many different needs.
+void ListDemands(benchmark::State& state) {
+  LoadedShare loaded(1);
+  loaded.add_jobs_of_one_task(state.range(0), state.range(1));
+  std::size_t entries = 0;
+  for (auto _ : state) {
+    loaded.now += kSecond / 2;
+    entries = loaded.controller->demands(loaded.now).size();
+  }
+  state.counters["entries"] = static_cast<double>(entries);
+}
+
 /// A takeover of a share, from the first job record until all machines and their running tasks are accounted
 /// for.
 void Takeover(benchmark::State& state) {
@@ -264,14 +288,17 @@
   }
 }
 
-/// The leader plans rentals and moves for all machines, which are divided into five shares.
-void ProvisionerPass(benchmark::State& state) {
-  LoadedShare loaded(state.range(0), 5'000);
+/// The leader plans rentals and moves for all machines, which are divided into five shares. The first ones
+/// have the demands of the loaded share each.
+void plan_capacity(benchmark::State& state, LoadedShare& loaded, std::int64_t shares_with_demands) {
   std::map<std::string, place::MachineRecord> records;
   std::vector<share::ShareReport> shares(5);
   const auto states = loaded.controller->machine_states(loaded.now);
-  for (int s = 0; s < 5; ++s) shares[static_cast<std::size_t>(s)].share = s;
-  shares[0].demands = loaded.controller->demands(loaded.now);
+  for (std::size_t s = 0; s < shares.size(); ++s) {
+    shares[s].share = static_cast<int>(s);
+    if (static_cast<std::int64_t>(s) < shares_with_demands)
+      shares[s].demands = loaded.controller->demands(loaded.now);
+  }
   for (std::size_t i = 0; i < states.size(); ++i) {
     shares[i % 5].machines.push_back(states[i]);
     place::MachineRecord m;
@@ -285,6 +312,18 @@
   }
 }
 
+void ProvisionerPass(benchmark::State& state) {
+  LoadedShare loaded(state.range(0), 5'000);
+  plan_capacity(state, loaded, 1);
+}
+
+/// The same with the longest lists of demands in all shares.
+void ProvisionerPassManyJobs(benchmark::State& state) {
+  LoadedShare loaded(state.range(0));
+  loaded.add_jobs_of_one_task(state.range(1), state.range(1));
+  plan_capacity(state, loaded, 5);
+}
+
 /// Reads `n` job records, nine in ten of them done, into the dependency graph and a share controller.
 void ColdStart(benchmark::State& state) {
   std::vector<std::pair<std::string, wire::Json>> rows;
@@ -322,8 +361,15 @@
 BENCHMARK(IdlePlanningPass) MACHINE_COUNTS;
 BENCHMARK(FillEmptyMachines)->Arg(200)->Arg(800)->Arg(3200)->Unit(benchmark::kMillisecond)->Iterations(1);
 BENCHMARK(EncodeGossip) MACHINE_COUNTS;
+BENCHMARK(ListDemands)
+    ->Args({1'000, 1})
+    ->Args({50'000, 1})
+    ->Args({50'000, 50})
+    ->Args({50'000, 50'000})
+    ->Unit(benchmark::kMicrosecond);
 BENCHMARK(Takeover) MACHINE_COUNTS;
 BENCHMARK(ProvisionerPass) MACHINE_COUNTS;
+BENCHMARK(ProvisionerPassManyJobs)->Args({4'000, 50'000})->Unit(benchmark::kMicrosecond);
 BENCHMARK(ColdStart)->Arg(10'000)->Arg(100'000)->Unit(benchmark::kMillisecond);
 
 }  // namespace
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -259,6 +259,9 @@
                    sum.machines, sum.free.cpus / 1'000'000, sum.total.cpus / 1'000'000,
                    sum.free.gpus / 1'000'000, sum.total.gpus / 1'000'000);
     spdlog::info("metrics: share {} waiting tasks {}", share, owned.controller->waiting_tasks());
+    const auto& demands = owned.controller->demand_counts();
+    spdlog::info("metrics: share {} demands: {} jobs in {} entries, {} groups beyond the first jobs", share,
+                 demands.jobs, demands.listed, demands.groups);
     spdlog::info("metrics: share {} attempts freed:{}", share,
                  format_counts<place::FreeReason>(owned.controller->freed_attempts()));
     spdlog::info("metrics: share {} starts refused:{}", share,
--- a/src/share/share_controller.h
+++ b/src/share/share_controller.h
@@ -18,6 +18,7 @@
 
 #include "job/graph.h"
 #include "place/placement.h"
+#include "share/demand.h"
 #include "wire/settings.h"
 
 namespace aspenwick::share {
@@ -36,24 +37,6 @@
 wire::Json machine_to_json(const MachineRecord& m);
 MachineRecord machine_from_json(const std::string& id, const wire::Json& j, std::uint64_t version);
 
-/// Waiting tasks with the same requirements, reported to the leader, which rents and moves machines for them.
-struct Demand {
-  Resources need;                   // of one task
-  std::uint64_t type_mask = ~0ULL;  // allowed machine types: one bit each, in name order
-  std::uint8_t zone = 255;          // the only allowed zone, an index into the settings' zones; 255: any
-  wire::Rank rank = wire::Rank::low;
-  wire::Shape shape = wire::Shape::array;
-  bool spot = false, one_zone = false;
-  bool excludes_gpu_machines = false;  // for now it waits for a machine without GPUs
-  bool starved = false;  // no task has started for long: the leader drains machines of other shares for it
-  bool accepts_any_machine = false;  // starved for longer: may also use machines kept for GPU work
-  std::uint32_t waiting = 0, running = 0;
-  std::uint32_t closed_zone_mask = 0;  // zones that may take no more of its tasks: one bit each
-  std::uint32_t max_per_zone = 0;      // most tasks in one zone; 0: no limit
-  std::uint32_t slack_ms = 0;          // time left until the tasks should have started
-  std::uint32_t estimated_run_ms = 0;
-};
-
 /// State of a machine, reported to the leader.
 struct MachineState {
   std::string id;
@@ -221,7 +204,7 @@
   /// Numbers of done and of running tasks of a job; nothing if this share does not plan it.
   std::optional<std::pair<std::uint32_t, std::uint32_t>> task_counts(const std::string& job) const;
   /// Waiting work and machines, as reported to the leader.
-  std::vector<Demand> demands(Micros now) const;
+  std::vector<Demand> demands(Micros now);
   std::vector<MachineState> machine_states(Micros now) const;
   /// Whether every machine has been accounted for since the takeover.
   bool all_accounted_for() const { return view_.all_accounted_for; }
@@ -238,6 +221,11 @@
   const std::array<std::uint64_t, place::kStartRefusals>& refused_starts() const { return refused_starts_; }
   const place::Rnn& rnn() const { return placement_.rnn(); }
   int share() const { return settings_.share; }
+  /// Size of the waiting work that demands() last reported.
+  struct DemandCounts {
+    std::size_t jobs = 0, groups = 0, listed = 0;  // groups: see DemandList
+  };
+  const DemandCounts& demand_counts() const { return demand_counts_; }
   /// Number of tasks of unfinished jobs that wait for a start.
   std::size_t waiting_tasks() const;
   /// Times from when a job became ready to the starts of its tasks, since the last call.
@@ -262,6 +250,8 @@
     overtaken,  // by the answer to a push; the worker still waits for the answer to this report
     obsolete,   // a newer report of the worker was seen, so the worker drops an answer to this one
   };
+  std::optional<Demand> demand_of(const Job& j, Micros now) const;
+  std::optional<Demand> demand_of_running_arrays() const;
   static ReportFreshness freshness_of(const Machine& m, const wire::WorkerReport& r);
   std::uint64_t current_token(const Machine& m) const;
   bool apply_report(Machine& m, const wire::WorkerReport& r, bool own_report, Micros now);
@@ -332,7 +322,9 @@
   std::array<std::uint64_t, place::kStartRefusals> refused_starts_{};
   Micros last_full_pass_ = 0;                        // when a pass last looked at everything again
   std::uint64_t changes_at_last_complete_pass_ = 0;  // ClusterView::changes after it
-  std::vector<int> zone_ids_;                        // of the settings' zones, as ClusterView numbers them
+  DemandList::Turns demand_turns_;
+  DemandCounts demand_counts_;
+  std::vector<int> zone_ids_;  // of the settings' zones, as ClusterView numbers them
   place::ClusterView view_;
   place::Placement placement_;
 };
--- a/src/share/share_controller_queries.cpp
+++ b/src/share/share_controller_queries.cpp
@@ -9,11 +9,6 @@
 using wire::Rank;
 using wire::Shape;
 
-namespace {
-constexpr std::size_t kMaxDemands = 64;
-constexpr std::size_t kMaxExtraStarvedDemands = 8;  // beyond kMaxDemands, for starved jobs
-}  // namespace
-
 std::optional<std::pair<std::uint32_t, std::uint32_t>> ShareController::task_counts(
     const std::string& id) const {
   auto it = view_.jobs.find(id);
@@ -33,80 +28,72 @@
   return n;
 }
 
-std::vector<Demand> ShareController::demands(Micros now) const {
-  std::vector<Demand> out;
-  for (Job* j : placement_.ordered_jobs(now)) {
-    if (out.size() >= kMaxDemands && !(j->starved && out.size() < kMaxDemands + kMaxExtraStarvedDemands))
-      continue;
-    std::int64_t waiting = j->waiting();
-    const wire::Team* t = placement_.quota().team(j->spec->team);
-    auto use = view_.team_usage.find(j->spec->team);
-    if (t && use != view_.team_usage.end()) {
-      if (t->limit.gpus > 0 && j->spec->need.gpus > 0)
-        waiting = std::min(waiting, (t->limit.gpus - use->second.gpus) / j->spec->need.gpus);
-      if (t->limit.cpus > 0 && j->spec->need.cpus > 0)
-        waiting = std::min(waiting, (t->limit.cpus - use->second.cpus) / j->spec->need.cpus);
-    }
-    if (waiting <= 0 || now < j->not_before) continue;
-    Demand d;
-    d.need = j->spec->need;
-    d.type_mask = 0;
-    for (std::size_t i = 0; i < types_.size() && i < 64; ++i)
-      if (j->kind->first.types[i]) d.type_mask |= 1ULL << i;
-    if (j->spec->zone) {
-      auto z = std::find(platform_.zones.begin(), platform_.zones.end(), *j->spec->zone);
-      d.zone = static_cast<std::uint8_t>(z - platform_.zones.begin());
-    }
-    if (j->spec->spread || j->spec->one_zone) {
-      d.max_per_zone = j->spec->spread ? (j->spec->tasks + 1) / 2 : 0;
-      for (std::size_t z = 0; z < platform_.zones.size() && z < 32; ++z) {
-        const int n = j->active_in_zone(zone_ids_[z]);
-        const bool closed =
-            j->spec->spread ? n >= static_cast<int>(d.max_per_zone) : !j->active.empty() && n == 0;
-        if (closed) d.closed_zone_mask |= 1U << z;
-      }
-    }
-    d.rank = placement_.effective_rank(*j, now);
-    d.shape = j->spec->shape;
-    d.spot = j->spec->spot;
-    d.waiting = static_cast<std::uint32_t>(waiting);
-    d.running = static_cast<std::uint32_t>(j->active.size());
-    d.slack_ms = static_cast<std::uint32_t>(
-        std::clamp<Micros>(placement_.slack(*j, now) / kMillisecond, 0, 3'600'000));
-    d.estimated_run_ms =
-        static_cast<std::uint32_t>(std::clamp(place::Placement::expected_run_seconds(*j) * 1000, 0.0, 3.6e6));
-    d.one_zone = j->spec->one_zone;
-    d.excludes_gpu_machines = placement_.waits_for_non_gpu_machine(*j, now);
-    d.starved = j->starved, d.accepts_any_machine = j->accepts_any_machine;
-    // Services with the same requirements are merged into one demand: ninety waiting services would otherwise
-    // fill the list, and the leader would not learn of the rest.
-    if (d.shape == wire::Shape::service) {
-      auto same = std::find_if(out.begin(), out.end(), [&](const Demand& o) {
-        return o.shape == d.shape && o.need == d.need && o.type_mask == d.type_mask && o.zone == d.zone &&
-               o.rank == d.rank && o.spot == d.spot && o.one_zone == d.one_zone &&
-               o.excludes_gpu_machines == d.excludes_gpu_machines && o.starved == d.starved &&
-               o.accepts_any_machine == d.accepts_any_machine && o.closed_zone_mask == d.closed_zone_mask &&
-               (o.max_per_zone > 0) == (d.max_per_zone > 0) && !d.one_zone;
-      });
-      if (same != out.end()) {
-        same->waiting += d.waiting, same->running += d.running, same->max_per_zone += d.max_per_zone;
-        continue;
-      }
+/// The job's waiting tasks that may be started now; nothing if there are none.
+std::optional<Demand> ShareController::demand_of(const Job& j, Micros now) const {
+  std::int64_t waiting = j.waiting();
+  const wire::Team* t = placement_.quota().team(j.spec->team);
+  auto use = view_.team_usage.find(j.spec->team);
+  if (t && use != view_.team_usage.end()) {
+    if (t->limit.gpus > 0 && j.spec->need.gpus > 0)
+      waiting = std::min(waiting, (t->limit.gpus - use->second.gpus) / j.spec->need.gpus);
+    if (t->limit.cpus > 0 && j.spec->need.cpus > 0)
+      waiting = std::min(waiting, (t->limit.cpus - use->second.cpus) / j.spec->need.cpus);
+  }
+  if (waiting <= 0 || now < j.not_before) return {};
+  Demand d;
+  d.need = j.spec->need;
+  d.type_mask = 0;
+  for (std::size_t i = 0; i < types_.size() && i < 64; ++i)
+    if (j.kind->first.types[i]) d.type_mask |= 1ULL << i;
+  if (j.spec->zone) {
+    auto z = std::find(platform_.zones.begin(), platform_.zones.end(), *j.spec->zone);
+    d.zone = static_cast<std::uint8_t>(z - platform_.zones.begin());
+  }
+  if (j.spec->spread || j.spec->one_zone) {
+    d.max_per_zone = j.spec->spread ? (j.spec->tasks + 1) / 2 : 0;
+    for (std::size_t z = 0; z < platform_.zones.size() && z < 32; ++z) {
+      const int n = j.active_in_zone(zone_ids_[z]);
+      const bool closed =
+          j.spec->spread ? n >= static_cast<int>(d.max_per_zone) : !j.active.empty() && n == 0;
+      if (closed) d.closed_zone_mask |= 1U << z;
     }
-    out.push_back(d);
   }
-  // One demand without waiting tasks for the running tasks of low-rank array jobs that have none waiting:
-  // their machines will soon be free for other work.
+  d.rank = placement_.effective_rank(j, now);
+  d.shape = j.spec->shape;
+  d.spot = j.spec->spot;
+  d.waiting = static_cast<std::uint32_t>(waiting);
+  d.running = static_cast<std::uint32_t>(j.active.size());
+  d.slack_ms =
+      static_cast<std::uint32_t>(std::clamp<Micros>(placement_.slack(j, now) / kMillisecond, 0, 3'600'000));
+  d.estimated_run_ms =
+      static_cast<std::uint32_t>(std::clamp(place::Placement::expected_run_seconds(j) * 1000, 0.0, 3.6e6));
+  d.one_zone = j.spec->one_zone;
+  d.excludes_gpu_machines = placement_.waits_for_non_gpu_machine(j, now);
+  d.starved = j.starved, d.accepts_any_machine = j.accepts_any_machine;
+  return d;
+}
+
+/// A demand without waiting tasks for the running tasks of low-rank array jobs that have none waiting: their
+/// machines will soon be free for other work.
+std::optional<Demand> ShareController::demand_of_running_arrays() const {
   Demand busy;
   for (const auto& [id, j] : view_.jobs) {
     if (j->spec->shape != Shape::array || j->rank >= Rank::high || j->waiting() > 0) continue;
     busy.running += static_cast<std::uint32_t>(j->active.size());
     busy.need += j->spec->need * static_cast<std::int64_t>(j->active.size());
   }
-  if (busy.running > 0) {
-    busy.need = {busy.need.cpus / busy.running, 0, 0};
-    out.push_back(busy);
-  }
+  if (busy.running == 0) return {};
+  busy.need = {busy.need.cpus / busy.running, 0, 0};
+  return busy;
+}
+
+std::vector<Demand> ShareController::demands(Micros now) {
+  DemandList list;
+  for (const Job* j : placement_.ordered_jobs(now))
+    if (const auto demand = demand_of(*j, now)) list.add(*demand);
+  std::vector<Demand> out = list.select(demand_turns_, now);
+  demand_counts_ = {list.jobs(), list.groups(), out.size()};
+  if (const auto running = demand_of_running_arrays()) out.push_back(*running);
   return out;
 }
 
