Demands are held to the team's limit also if the team runs nothing yet

The leader was told of all waiting tasks and could rent machines for tasks that the limit forbids.

Change: the count is Quota::tasks_within_limit, as in placement.

Evidence: TeamLimitTest.TheLeaderIsToldOfTasksWithinTheLimitOnly failed before (100 tasks told instead of 4, for a limit of CPUs and one of GPUs).

--- a/src/share/share_controller_queries.cpp
+++ b/src/share/share_controller_queries.cpp
@@ -30,15 +30,7 @@
 
 /// The job's waiting tasks that may be started now; nothing if there are none.
 std::optional<Demand> ShareController::demand_of(const Job& j, Micros now) const {
-  std::int64_t waiting = j.waiting();
-  const wire::Team* t = placement_.quota().team(j.spec->team);
-  auto use = view_.team_usage.find(j.spec->team);
-  if (t && use != view_.team_usage.end()) {
-    if (t->limit.gpus > 0 && j.spec->need.gpus > 0)
-      waiting = std::min(waiting, (t->limit.gpus - use->second.gpus) / j.spec->need.gpus);
-    if (t->limit.cpus > 0 && j.spec->need.cpus > 0)
-      waiting = std::min(waiting, (t->limit.cpus - use->second.cpus) / j.spec->need.cpus);
-  }
+  const std::int64_t waiting = placement_.quota().tasks_within_limit(j, j.waiting());
   if (waiting <= 0 || now < j.not_before) return {};
   Demand d;
   d.need = j.spec->need;
--- a/tests/demand_test.cpp
+++ b/tests/demand_test.cpp
@@ -115,6 +115,28 @@
   EXPECT_LE(share::encode(gossip).size(), share::kMaxFrameSize);
 }
 
+struct TeamLimitTest : ShareControllerTest {
+  std::uint32_t tasks_told(const std::string& id, const char* team, double cpus, double gpus) {
+    auto submission = submission_json(id, 100);
+    submission["owner"] = team, submission["vcpus"] = cpus, submission["cards"] = gpus;
+    records[id].spec = std::make_shared<wire::JobSpec>(wire::job_from_json(submission));
+    deliver_record(id);
+    const wire::Resources need = records[id].spec->need;
+    for (const Demand& d : controller.demands(now))
+      if (d.need == need) return d.waiting;
+    return 0;
+  }
+};
+
+// Guards against rents for tasks beyond the limit of a team that runs nothing yet: the limit was looked at
+// only once the team had tasks on machines.
+TEST_F(TeamLimitTest, TheLeaderIsToldOfTasksWithinTheLimitOnly) {
+  EXPECT_EQ(tasks_told("j-000001", "tight", 2, 0), 4U);    // limit: 8 CPUs
+  EXPECT_EQ(tasks_told("j-000002", "cards", 1, 1), 4U);    // limit: 4 GPUs
+  EXPECT_EQ(tasks_told("j-000003", "cards", 3, 0), 100U);  // none for CPUs
+  EXPECT_EQ(tasks_told("j-000004", "tight", 0, 0), 100U);  // needs nothing that is limited
+}
+
 /// What the jobs in front and the job behind them are: their shape and rank, and whether the job behind needs
 /// GPUs and those in front do not, or the other way round.
 using QueueShape = std::tuple<const char*, const char*, bool>;
