A share beyond one frame is reported in two: half its machines were left out

The leader neither moved nor returned the others, and rented beside them.

Change: such a share goes in two frames. The first is marked by a bit that the version in production ignores; it knows the last part, as before. The receiver puts the parts together by machine id (ReportAssembler).

Evidence: Frame.AllMachinesOfAShareBeyondOneFrameAreReported failed before (2,000 of 4,000 machines, 3,000 of 6,000). AReportThatBrokeOffIsReplacedByTheNext covers lost parts and a new owner.

Cost: up to 256 KiB instead of 128 KiB to the leader twice a second for such a share. Beyond two frames the machines are halved as before, since peers drop a connection on which more waits to be sent.

--- a/src/app/peer_service.cpp
+++ b/src/app/peer_service.cpp
@@ -193,12 +193,17 @@
         {gossip.state_service_reachable, gossip.records_synced, gossip.lease, now, false, 0, {}});
   for (const auto& report : gossip.shares) reported_owners_[report.share] = {gossip.node, now};
   if (gossip.ids_only) return;
+  if (gossip.more_parts_follow) {
+    for (const auto& part : gossip.shares) report_assembler_.add_part(gossip.node, part);
+    return;
+  }
   // Share by share, because a node with thousands of machines sends them in several frames.
   std::erase_if(received_reports_, [&](const auto& entry) {
     const OwnerKey* key = ownership.owner(entry.first);
     return entry.second.node == gossip.node && key && key->node != gossip.node;
   });
-  for (const auto& report : gossip.shares) received_reports_[report.share] = {gossip.node, now, report};
+  for (const auto& report : gossip.shares)
+    received_reports_[report.share] = {gossip.node, now, report_assembler_.complete(gossip.node, report)};
 }
 
 void PeerService::handle(const share::ReleaseRequest& release_request) {
--- a/src/app/peer_service.h
+++ b/src/app/peer_service.h
@@ -14,6 +14,7 @@
 #include "share/heartbeat_tracker.h"
 #include "share/peer_transport.h"
 #include "share/pending_confirmations.h"
+#include "share/report_assembler.h"
 #include "store/client.h"
 
 namespace aspenwick::app {
@@ -89,6 +90,7 @@
   share::CancellationBroadcast cancellations_;
   share::PendingConfirmations confirmations_;
   std::map<int, ReceivedReport> received_reports_;  // by share, as last reported by its owner
+  share::ReportAssembler report_assembler_;
   std::map<int, std::pair<std::string, Micros>>
       reported_owners_;  // by share: the node that reported to own the share, and when
   std::uint64_t leader_epoch_ = 0;
--- a/src/share/peer_frame.cpp
+++ b/src/share/peer_frame.cpp
@@ -75,14 +75,16 @@
   kStateServiceReachable = 1,
   kRecordsSynced = 2,
   kIdsOnly = 8,
-  kReadsHeartbeats = 16
+  kReadsHeartbeats = 16,
+  kMorePartsFollow = 32
 };
 
 void write(Writer& w, const Gossip& g) {
   w.text(g.node);
   w.num<std::uint8_t>(static_cast<std::uint8_t>(
       (g.state_service_reachable ? kStateServiceReachable : 0) | (g.records_synced ? kRecordsSynced : 0) |
-      (g.ids_only ? kIdsOnly : 0) | (g.sender_reads_heartbeats ? kReadsHeartbeats : 0)));
+      (g.ids_only ? kIdsOnly : 0) | (g.sender_reads_heartbeats ? kReadsHeartbeats : 0) |
+      (g.more_parts_follow ? kMorePartsFollow : 0)));
   w.num<std::uint64_t>(g.lease);
   w.num<std::uint8_t>(static_cast<std::uint8_t>(g.shares.size()));
   for (const auto& s : g.shares) {
@@ -122,6 +124,7 @@
   const auto flags = r.num<std::uint8_t>();
   g.state_service_reachable = flags & kStateServiceReachable, g.records_synced = flags & kRecordsSynced;
   g.ids_only = flags & kIdsOnly, g.sender_reads_heartbeats = flags & kReadsHeartbeats;
+  g.more_parts_follow = flags & kMorePartsFollow;
   g.lease = r.num<std::uint64_t>();
   const auto shares = r.num<std::uint8_t>();
   for (int i = 0; i < shares; ++i) {
@@ -220,22 +223,41 @@
   return head.take() + payload;
 }
 
+namespace {
+/// The first part has the first half of the machines and no demands, the last one the rest.
+std::pair<Gossip, Gossip> split_machines(const Gossip& whole) {
+  Gossip first = whole, last = whole;
+  const auto& machines = whole.shares[0].machines;
+  const auto half = machines.begin() + static_cast<std::ptrdiff_t>(machines.size() / 2);
+  first.more_parts_follow = true;
+  first.shares[0].demands.clear();
+  first.shares[0].machines.assign(machines.begin(), half);
+  last.shares[0].machines.assign(half, machines.end());
+  return {std::move(first), std::move(last)};
+}
+
+std::pair<Gossip, Gossip> split_shares(const Gossip& whole) {
+  Gossip first = whole, last = whole;
+  const auto half = whole.shares.begin() + static_cast<std::ptrdiff_t>(whole.shares.size() / 2);
+  first.shares.assign(whole.shares.begin(), half);
+  last.shares.assign(half, whole.shares.end());
+  return {std::move(first), std::move(last)};
+}
+}  // namespace
+
 std::vector<std::string> encode_gossip(const Gossip& whole) {
   std::string bytes = encode(whole);
   if (bytes.size() <= kMaxFrameSize) return {std::move(bytes)};
-  if (whole.shares.empty()) return {};
-  std::vector<std::string> out;
-  Gossip part = whole;
+  if (whole.shares.empty() || (whole.shares.size() == 1 && whole.shares[0].machines.size() < 2)) return {};
   if (whole.shares.size() == 1) {
-    auto& machines = part.shares[0].machines;
-    machines.resize(machines.size() / 2);
-    return machines.empty() ? out : encode_gossip(part);
+    const auto [first, last] = split_machines(whole);
+    std::string last_frame = encode(last);
+    if (last_frame.size() > kMaxFrameSize) return encode_gossip(last);
+    return {encode(first), std::move(last_frame)};
   }
-  const auto half = whole.shares.begin() + static_cast<std::ptrdiff_t>(whole.shares.size() / 2);
-  part.shares.assign(whole.shares.begin(), half);
-  out = encode_gossip(part);
-  part.shares.assign(half, whole.shares.end());
-  for (auto& frame : encode_gossip(part)) out.push_back(std::move(frame));
+  const auto [first, last] = split_shares(whole);
+  std::vector<std::string> out = encode_gossip(first);
+  for (auto& frame : encode_gossip(last)) out.push_back(std::move(frame));
   return out;
 }
 
--- a/src/share/peer_frame.h
+++ b/src/share/peer_frame.h
@@ -32,6 +32,7 @@
   // These are bits that the previous version ignores.
   bool sender_reads_heartbeats = false;  // the sender's state is then taken from its heartbeats
   bool ids_only = false;                 // `shares` only names the owned shares; the leader gets the rest
+  bool more_parts_follow = false;        // of the only share in this frame; see encode_gossip()
 };
 /// The state of a process, its identity and what it last received from the receiver; see heartbeat_tracker.h
 /// and cancellation_broadcast.h. Sent only to peers whose version reads heartbeats.
@@ -88,8 +89,10 @@
 /// Returns the frame with its header. Strings are cut to 255 bytes; the total length is not checked.
 std::string encode(const Frame& frame);
 /// Encodes `whole` as one frame, or, if that would exceed kMaxFrameSize, as several with some of the shares
-/// each. Of a share that does not fit into a frame of its own, the number of machines is halved until it
-/// fits.
+/// each. A share that does not fit into a frame of its own goes in two parts with half of its machines each,
+/// the last one with its demands; a receiver of the previous version knows only that part. Of a share that
+/// does not fit into two frames, the number of machines is halved until it does: peers drop a connection on
+/// which too much waits to be sent.
 std::vector<std::string> encode_gossip(const Gossip& whole);
 
 /// Bytes that are not a valid frame of this version.
--- a/tests/frame_test.cpp
+++ b/tests/frame_test.cpp
@@ -2,9 +2,12 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <optional>
 #include <random>
+#include <set>
 
 #include "share/peer_frame.h"
+#include "share/report_assembler.h"
 
 namespace aspenwick::share {
 namespace {
@@ -113,6 +116,68 @@
   EXPECT_GT(machines[4], 2000U);  // as many as fit into one frame
 }
 
+/// A share with so many machines, numbered, and one demand.
+Gossip gossip_of_large_share(int machines) {
+  Gossip g = full_gossip();
+  const MachineState machine = g.shares[0].machines[0];
+  g.shares[0].machines.assign(static_cast<std::size_t>(machines), machine);
+  for (int i = 0; i < machines; ++i)
+    g.shares[0].machines[static_cast<std::size_t>(i)].id = "i-" + std::to_string(100'000 + i);
+  return g;
+}
+
+/// Passes the frame to the assembler; returns the whole report if it was the last part.
+std::optional<ShareReport> receive(ReportAssembler& assembler, const std::string& frame) {
+  const auto part = std::get<Gossip>(decode(frame));
+  if (!part.more_parts_follow) return assembler.complete(part.node, part.shares.at(0));
+  assembler.add_part(part.node, part.shares.at(0));
+  return {};
+}
+
+std::set<std::string> ids_of(const std::vector<MachineState>& machines) {
+  std::set<std::string> ids;
+  for (const MachineState& m : machines) ids.insert(m.id);
+  return ids;
+}
+
+// Guards against machines that the leader never hears of: of a share beyond one frame it was told half.
+TEST(Frame, AllMachinesOfAShareBeyondOneFrameAreReported) {
+  for (const int machines : {1000, 4000, 6000}) {
+    const auto frames = encode_gossip(gossip_of_large_share(machines));
+    ReportAssembler assembler;
+    std::optional<ShareReport> whole;
+    for (const auto& frame : frames) {
+      EXPECT_LE(frame.size(), kMaxFrameSize);
+      EXPECT_FALSE(whole);
+      whole = receive(assembler, frame);
+    }
+    ASSERT_TRUE(whole);
+    EXPECT_EQ(whole->demands.size(), 1U);
+    EXPECT_EQ(whole->machines.size(), static_cast<std::size_t>(machines));
+    EXPECT_EQ(ids_of(whole->machines).size(), static_cast<std::size_t>(machines));
+  }
+}
+
+// Parts that were lost or came from a former owner neither stay nor make a machine count twice.
+TEST(Frame, AReportThatBrokeOffIsReplacedByTheNext) {
+  const auto before = encode_gossip(gossip_of_large_share(4000));
+  Gossip smaller = gossip_of_large_share(3900);
+  ASSERT_EQ(before.size(), 2U);
+  ReportAssembler assembler;
+  EXPECT_FALSE(receive(assembler, before[0]));
+  const auto after = encode_gossip(smaller);
+  ASSERT_EQ(after.size(), 2U);
+  EXPECT_FALSE(receive(assembler, after[0]));
+  const auto whole = receive(assembler, after[1]);
+  EXPECT_EQ(whole->machines.size(), 3900U);
+  EXPECT_EQ(ids_of(whole->machines).size(), 3900U);
+  EXPECT_EQ(receive(assembler, before[1])->machines.size(), 2000U);  // its first part is lost
+  EXPECT_FALSE(receive(assembler, before[0]));
+  smaller.node = "rig-2";  // the share's next owner
+  smaller.shares[0].machines.resize(10);
+  EXPECT_EQ(receive(assembler, encode(smaller))->machines.size(), 10U);
+}
+
 TEST(Frame, CorruptedFramesOnlyThrowBadFrame) {
   std::mt19937 random(11);
   const std::string valid = encode(full_gossip());
