Retries of refused offers leave rental requests to the demands behind

Change: the more offers are refused, the longer each waits, so that at most half of the cloud's requests, and three a second, are retries. An offer that was refused last time is requested by one demand at a time.

Evidence: LeaderTest.RefusedDemandsLeaveRequestsToTheOthers failed before (no request in 90 s for the job behind, with 31 jobs of one task before it and with one of 2,000), and with the second part of the change alone.

--- a/src/fleet/provisioner.cpp
+++ b/src/fleet/provisioner.cpp
@@ -10,7 +10,9 @@
 namespace {
 constexpr Micros kDeleteRetryInterval = 4 * kSecond;
 constexpr std::int64_t kMaxTasksPerMachine = 1'000'000;  // for tasks that need no resources
-constexpr Micros kMinUnusedTime = 4 * kSecond;  // until free resources count as unused by their share
+constexpr double kRetriesPerCloudRequest = 0.5;  // at most this part of the requests repeats refused ones
+constexpr double kMaxRetriesPerSecond = 3;       // half of what rent_machines_for() may request
+constexpr Micros kMinUnusedTime = 4 * kSecond;   // until free resources count as unused by their share
 }  // namespace
 
 /// types_.size() if there is no such type.
@@ -53,6 +55,20 @@
   });
 }
 
+/// How long an offer that was refused just now is not requested again: for the longer, the more offers are
+/// refused. Otherwise retries for the demand that comes first would take all requests, and machines that the
+/// cloud has would never be requested for the demands behind it.
+Micros Provisioner::refusal_time(Micros now) const {
+  const auto refused_lately =
+      std::count_if(refused_until_.begin(), refused_until_.end(),
+                    [&](const auto& offer) { return offer.second + settings_.refused_for > now; });
+  const double retries_per_second =
+      std::min(kRetriesPerCloudRequest * platform_.cloud_rps, kMaxRetriesPerSecond);
+  if (retries_per_second <= 0) return settings_.refused_for;
+  return std::max(settings_.refused_for,
+                  from_seconds(static_cast<double>(refused_lately) / retries_per_second));
+}
+
 void Provisioner::on_rent_result(const RentMachines& rent, int status, const std::vector<std::string>& ids,
                                  Micros now) {
   if (auto it = std::find(unanswered_rents_.begin(), unanswered_rents_.end(), rent);
@@ -60,7 +76,9 @@
     unanswered_rents_.erase(it);
   const auto key = offer_name(types_[rent.type].name, rent.zone, rent.spot);
   if (status != 200 || static_cast<int>(ids.size()) < rent.count)
-    refused_until_[key] = now + settings_.refused_for;
+    refused_until_[key] = now + refusal_time(now);
+  else
+    refused_until_.erase(key);
   for (const auto& id : ids) {
     BootingMachine b;
     b.type = rent.type, b.zone = rent.zone, b.spot = rent.spot, b.rented_at = now,
--- a/src/fleet/provisioner.h
+++ b/src/fleet/provisioner.h
@@ -22,7 +22,7 @@
   Micros idle_gpu_after = 20 * kSecond;       // with GPUs, which cost many times as much
   Micros idle_spot_gpu_after = 45 * kSecond;  // spot with GPUs: cheap, and it keeps its images cached
   Micros lapsed_after = 8 * kSecond;          // an empty machine whose worker's lease lapsed is returned
-  Micros refused_for = 12 * kSecond;          // an offer that the cloud refused is not requested again
+  Micros refused_for = 12 * kSecond;    // an offer that the cloud refused is not requested again, at least
   Micros drain_interval = 1 * kSecond;  // between rounds of drains, for high-rank work and of GPU machines
   double expensive_price_factor = 3;    // offers above this multiple of the cheapest are for urgent work only
   // A machine that has not reported after `straggler_factor` nominal boot times plus `straggler_extra` is
@@ -166,6 +166,7 @@
     std::uint32_t tasks_per_machine = 0;
   };
 
+  Micros refusal_time(Micros now) const;
   void delete_failed_machines(Plan& plan, const std::map<std::string, MachineRecord>& records);
   void collect_demand_and_capacity(Plan& plan, const std::vector<ShareReport>& shares,
                                    const std::map<std::string, MachineRecord>& records);
@@ -179,6 +180,7 @@
   void drain_underused_machines(Plan& plan, PendingDemand& pending);
   void renew_drains(Plan& plan, const PendingDemand& pending);
   bool fits_only_gpu_work_types(const PendingDemand& pending) const;
+  bool awaits_retry(const Offer& offer) const;
   void rent_machines_for(Plan& plan, PendingDemand& pending);
   void request_rental(Plan& plan, const Offer& offer, int count, PendingDemand& pending);
   void rebalance(Plan& plan);
@@ -200,11 +202,12 @@
   const std::vector<wire::MachineType>& types_;
   ProvisionerSettings settings_;
   std::map<std::string, BootingMachine> booting_;
-  std::vector<RentMachines> unanswered_rents_;   // their machines count as booting
-  std::map<std::string, Micros> refused_until_;  // by offer name
-  std::map<std::string, Micros> deleting_;       // machine -> when its deletion was last requested
-  std::map<std::string, double> spot_price_;     // by machine type
-  std::map<std::string, Micros> failed_since_;   // machines that the cloud reports as failed
+  std::vector<RentMachines> unanswered_rents_;  // their machines count as booting
+  // By offer name, unless the last request for it was granted in full.
+  std::map<std::string, Micros> refused_until_;
+  std::map<std::string, Micros> deleting_;      // machine -> when its deletion was last requested
+  std::map<std::string, double> spot_price_;    // by machine type
+  std::map<std::string, Micros> failed_since_;  // machines that the cloud reports as failed
   // Machine -> the share that gets it (-1: to be deleted), and until when the drain lasts.
   std::map<std::string, std::pair<int, Micros>> draining_;
   std::map<std::string, UnusedCapacity> unused_capacity_;  // by machine
--- a/src/fleet/provisioner_renting.cpp
+++ b/src/fleet/provisioner_renting.cpp
@@ -91,6 +91,14 @@
   }
 }
 
+/// The cloud refused the offer last time and is asked for it again: the demands behind wait for its answer.
+bool Provisioner::awaits_retry(const Offer& offer) const {
+  if (!refused_until_.contains(offer_name(types_[offer.type].name, offer.zone, offer.spot))) return false;
+  return std::any_of(unanswered_rents_.begin(), unanswered_rents_.end(), [&](const RentMachines& rent) {
+    return rent.type == offer.type && rent.zone == offer.zone && rent.spot == offer.spot;
+  });
+}
+
 void Provisioner::rent_machines_for(Plan& plan, PendingDemand& pending) {
   // An offer is expensive compared with the cheapest known price, whether or not that can be rented now.
   double cheapest = 1e18;
@@ -107,6 +115,7 @@
       return;
     if (!matches_constraints(pending, o.type, o.zone, o.spot))
       continue;  // the requests before may have filled its zone
+    if (awaits_retry(o)) return;
     const bool expensive = o.cost_per_task > cheapest * settings_.expensive_price_factor;
     // Production gets expensive machines only once it is late: drained machines are available sooner than new
     // ones.
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -39,6 +39,7 @@
   FakeCloud cloud;
   Micros now = 100 * kSecond;
   share::Demand demand;
+  std::vector<share::Demand> further_demands;
   int types_received = 0;
   Leader leader{platform,
                 {},
@@ -46,7 +47,10 @@
                 machines,
                 {[this] { return now; }, cloud,
                  [this] {
-                   return std::vector<share::ShareReport>{{0, true, {demand}, {}}};
+                   share::ShareReport report{0, true, {demand}, {}};
+                   report.demands.insert(report.demands.end(), further_demands.begin(),
+                                         further_demands.end());
+                   return std::vector<share::ShareReport>{report};
                  },
                  [this](const auto&) { ++types_received; }, [](const auto&) {}, [](const auto&) {}}};
   void SetUp() override {
@@ -105,5 +109,33 @@
   EXPECT_GT(request_count, 5U);
 }
 
+// Guards against a job that gets no machine, though the cloud has some, because the retries for jobs before
+// it take all requests that the cloud's rate limit allows.
+TEST_F(LeaderTest, RefusedDemandsLeaveRequestsToTheOthers) {
+  types = testing::machine_types();
+  for (int i = 0; i < 12; ++i) {
+    auto gpu = types[1];
+    gpu.name += "-" + std::to_string(i), gpu.zones = platform.zones;
+    types.push_back(gpu);
+  }
+  share::Demand last = demand;
+  last.rank = wire::Rank::low, last.waiting = 1, last.type_mask = 1;
+  demand.need.gpus = wire::to_millionths(1), demand.waiting = 1;
+  for (const std::uint32_t waiting : {1U, 2000U}) {  // many jobs of one task, and one of many tasks
+    further_demands.assign(waiting == 1 ? 30 : 0, demand);
+    demand.waiting = waiting;
+    further_demands.push_back(last);
+    int requested = 0;
+    for (int pass = 0; pass < 180; ++pass) {  // 90 s
+      run_pass(waiting);                      // a term of its own
+      for (auto& request : cloud.take_requests("/")) {
+        requested += request.path == "/rentals" && request.body.find("cpu8") != std::string::npos;
+        request.respond(503, "");
+      }
+    }
+    EXPECT_GT(requested, 0) << waiting;
+  }
+}
+
 }  // namespace
 }  // namespace aspenwick::app
