Needs are rounded up to a millionth: by rounding down, too many tasks fitted

Three tasks of 5.3333334 CPUs were taken to fit 16 CPUs: the worker, which reads the job itself, refuses the third, or the team is over its limit. 16.0000001 CPUs were accepted for machines of 16, and 0.0000004 counted as none.

Change: needs are rounded up when a submission or a record is read, but for errors of the floating-point number. What machines have and teams may use is still rounded to the nearest. Records read and written stay the same (Compatibility tests).

Evidence: Job.NeedsAreRoundedUp failed on these three before.

--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -93,6 +93,11 @@
 
 std::int64_t to_millionths(double amount) { return std::llround(amount * 1e6); }
 
+std::int64_t to_millionths_rounded_up(double amount) {
+  constexpr double kTolerance = 0.01;  // millionths
+  return static_cast<std::int64_t>(std::ceil(amount * 1e6 - kTolerance));
+}
+
 bool valid_job_id(const std::string& id) {
   return id.size() > 2 && id.size() <= 40 && id.starts_with("j-") &&
          std::all_of(id.begin() + 2, id.end(), [](unsigned char c) { return c >= '0' && c <= '9'; });
@@ -142,8 +147,9 @@
   const std::uint64_t tasks = count_field(j, "pieces");
   if (tasks == 0 || tasks > kMaxTasks) throw Malformed("out of range: pieces");
   s.tasks = static_cast<std::uint32_t>(tasks);
-  s.need = {to_millionths(number_field(j, "vcpus")), to_millionths(number_field(j, "cards")),
-            to_millionths(number_field(j, "ramGb"))};
+  s.need = {to_millionths_rounded_up(number_field(j, "vcpus")),
+            to_millionths_rounded_up(number_field(j, "cards")),
+            to_millionths_rounded_up(number_field(j, "ramGb"))};
   s.image = string_field(j, "bundle", true);
   s.image_gb = number_field(j, "sizeGb");
   if (const Json* types = optional_field(j, "rigtypes")) {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -54,6 +54,9 @@
 };
 /// Rounds to the nearest millionth.
 std::int64_t to_millionths(double amount);
+/// Rounds up to a millionth, so that tasks that fit together by their rounded needs fit by the exact ones.
+/// Less than a hundredth of a millionth is taken for an error of the floating-point number.
+std::int64_t to_millionths_rounded_up(double amount);
 
 enum class Shape : std::uint8_t { array, gang, service };
 enum class Rank : std::uint8_t { low, normal, high, production };
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -24,6 +24,24 @@
   EXPECT_EQ(job_to_json(t), job_to_json(s));
 }
 
+// Guards against tasks that fit a machine or a team's limit together by their rounded needs, and not by the
+// exact ones: the worker refuses the last one, or the team is over its limit.
+TEST(Job, NeedsAreRoundedUp) {
+  auto j = testing::job_json();
+  auto cpus = [&](double amount) {
+    j["vcpus"] = amount;
+    const JobSpec spec = job_from_json(j);
+    EXPECT_EQ(job_from_json(job_to_json(spec)).need, spec.need);  // a record keeps what was accepted
+    return spec.need.cpus;
+  };
+  EXPECT_GT(3 * cpus(5.3333334), to_millionths(16));
+  EXPECT_GT(cpus(16.0000001), to_millionths(16));
+  EXPECT_EQ(cpus(4e-7), 1);
+  EXPECT_EQ(cpus(0), 0);
+  for (int i = 1; i <= 2000; ++i) EXPECT_EQ(cpus(i / 10.0), i * 100'000LL);
+  for (int i = 1; i <= 2000; ++i) EXPECT_EQ(cpus(i / 1e6), i);
+}
+
 TEST(Job, DependenciesAreAListOfJobIds) {
   Json j = testing::job_json();
   const Json without_dependencies = job_to_json(parse_job(j.dump()));
