Gangs too leave rental requests to the demands behind; the test covers shapes

LeaderTest.RefusedDemandsLeaveRequestsToTheOthers now runs with arrays, gangs and services, at clouds of 3 and of 100 requests a second.

--- a/src/fleet/provisioner_renting.cpp
+++ b/src/fleet/provisioner_renting.cpp
@@ -226,6 +226,7 @@
       unanswered_rents_.size() >= kMaxUnansweredRents)
     return;
   const Offer& o = best_offers.front();
+  if (awaits_retry(o)) return;
   request_rental(
       plan, o,
       std::min(kMaxMachinesPerRent,
--- a/tests/leader_test.cpp
+++ b/tests/leader_test.cpp
@@ -57,6 +57,18 @@
     demand.need = {wire::to_millionths(2), 0, wire::to_millionths(1)};
     demand.waiting = 8, demand.rank = wire::Rank::high, demand.slack_ms = 10'000;
   }
+  /// Runs the leader for 90 s, refusing everything. Returns how often it requested a cpu8 machine.
+  int requests_for_cpu8(std::uint64_t epoch) {
+    int requested = 0;
+    for (int pass = 0; pass < 180; ++pass) {
+      run_pass(epoch);
+      for (auto& request : cloud.take_requests("/")) {
+        requested += request.path == "/rentals" && request.body.find("cpu8") != std::string::npos;
+        request.respond(503, "");
+      }
+    }
+    return requested;
+  }
   /// Runs the leader half a second later.
   void run_pass(std::uint64_t epoch) {
     now += kSecond / 2;
@@ -120,21 +132,18 @@
   }
   share::Demand last = demand;
   last.rank = wire::Rank::low, last.waiting = 1, last.type_mask = 1;
-  demand.need.gpus = wire::to_millionths(1), demand.waiting = 1;
-  for (const std::uint32_t waiting : {1U, 2000U}) {  // many jobs of one task, and one of many tasks
-    further_demands.assign(waiting == 1 ? 30 : 0, demand);
-    demand.waiting = waiting;
-    further_demands.push_back(last);
-    int requested = 0;
-    for (int pass = 0; pass < 180; ++pass) {  // 90 s
-      run_pass(waiting);                      // a term of its own
-      for (auto& request : cloud.take_requests("/")) {
-        requested += request.path == "/rentals" && request.body.find("cpu8") != std::string::npos;
-        request.respond(503, "");
+  demand.need.gpus = wire::to_millionths(1);
+  std::uint64_t term = 0;
+  for (const double requests_per_second : {3.0, 100.0})
+    for (const auto shape : {wire::Shape::array, wire::Shape::gang, wire::Shape::service})
+      for (const std::uint32_t waiting : {1U, 2000U}) {  // many jobs of one task, and one of many tasks
+        platform.cloud_rps = requests_per_second;
+        demand.shape = shape, demand.waiting = waiting;
+        further_demands.assign(waiting == 1 ? 30 : 0, demand);
+        further_demands.push_back(last);
+        EXPECT_GT(requests_for_cpu8(++term), 0)
+            << requests_per_second << " " << static_cast<int>(shape) << " " << waiting;
       }
-    }
-    EXPECT_GT(requested, 0) << waiting;
-  }
 }
 
 }  // namespace
